Lay the workspace and the first decision libraries

Cause: the repository is empty; all later work needs one layout. None opens a socket, reads a clock or starts a thread.

--- /dev/null
+++ b/include/fescuedyke/account/account.h
@@ -0,0 +1,84 @@
+#ifndef FESCUEDYKE_ACCOUNT_ACCOUNT_H
+#define FESCUEDYKE_ACCOUNT_ACCOUNT_H
+
+#include "fescuedyke/call/outcome.h"
+#include "fescuedyke/policy/policy.h"
+#include "fescuedyke/support/ids.h"
+#include "fescuedyke/support/time.h"
+
+#include <array>
+#include <cstdint>
+#include <deque>
+#include <map>
+#include <string>
+#include <tuple>
+
+/// \file
+/// The account of one node: what it received and what became of it.
+
+namespace fescuedyke {
+
+/// Which side of a call an entry speaks of.
+enum class account_side : std::uint8_t {
+    /// Calls that arrived at a target's own node.
+    served,
+    /// Calls that callers brought to the node, whatever service they asked for.
+    sent
+};
+
+/// Whose calls one row counts.
+struct account_key {
+    account_side side = account_side::served;
+    owner_name owner;
+    service_name service;
+    priority_class cls = priority_class::normal;
+
+    friend bool operator<(const account_key& a, const account_key& b)
+    {
+        return std::tie(a.side, a.owner, a.service, a.cls) <
+               std::tie(b.side, b.owner, b.service, b.cls);
+    }
+};
+
+/// Counts by what happened. Received is always the sum of the others.
+struct account_row {
+    std::uint64_t received = 0;
+    std::uint64_t answered = 0;
+    std::array<std::uint64_t, outcome_reason_count> not_run{};
+    std::array<std::uint64_t, outcome_reason_count> unknown{};
+    std::uint64_t in_progress = 0;
+
+    std::uint64_t total_not_run() const;
+    std::uint64_t total_unknown() const;
+    bool is_conserved() const;
+
+    account_row& operator+=(const account_row& other);
+};
+
+/// One unrepeatable request whose outcome is not known.
+struct unknown_key {
+    account_key row;
+    std::string key;
+    outcome_reason reason = outcome_reason::none;
+    wall_time at;
+};
+
+/// Counts one node's calls since its start.
+class account {
+public:
+    void on_received(const account_key& key);
+    void on_ended(const account_key& key, const outcome& result);
+    void on_unknown_key(const unknown_key& entry);
+
+    const std::map<account_key, account_row>& rows() const { return rows_; }
+    /// The latest of the unrepeatable requests with unknown outcome; the oldest are dropped first.
+    const std::deque<unknown_key>& unknown_keys() const { return unknown_keys_; }
+
+private:
+    std::map<account_key, account_row> rows_;
+    std::deque<unknown_key> unknown_keys_;
+};
+
+} // namespace fescuedyke
+
+#endif
--- /dev/null
+++ b/include/fescuedyke/once/ownership.h
@@ -0,0 +1,97 @@
+#ifndef FESCUEDYKE_ONCE_OWNERSHIP_H
+#define FESCUEDYKE_ONCE_OWNERSHIP_H
+
+#include "fescuedyke/once/idempotency_key.h"
+#include "fescuedyke/support/ids.h"
+#include "fescuedyke/support/time.h"
+
+#include <array>
+#include <cstdint>
+#include <map>
+#include <optional>
+#include <string>
+#include <utility>
+
+/// \file
+/// Which target owns which bucket of keys, and whether this instance may act as an owner now.
+
+namespace fescuedyke {
+
+/// Holder of one bucket as the replicated table has it.
+struct bucket_grant {
+    /// Empty while the bucket has no owner.
+    instance_id owner;
+    incarnation owner_incarnation;
+    /// Grows with every change of this bucket's owner; the first owner has 1.
+    std::uint64_t epoch = 0;
+
+    friend bool operator==(const bucket_grant& a, const bucket_grant& b)
+    {
+        return a.owner == b.owner && a.owner_incarnation == b.owner_incarnation &&
+               a.epoch == b.epoch;
+    }
+    friend bool operator!=(const bucket_grant& a, const bucket_grant& b) { return !(a == b); }
+};
+
+/// All buckets of one service and home.
+using bucket_grants = std::array<bucket_grant, buckets_per_home>;
+
+/// Names one set of buckets.
+using bucket_home = std::pair<service_name, region_name>;
+
+/// The replicated table of owners.
+struct bucket_table {
+    std::uint64_t version = 0;
+    std::map<bucket_home, bucket_grants> homes;
+
+    /// Returns the grant of the bucket that \p key falls into, or nullptr.
+    const bucket_grant* find(const service_name& service, const idempotency_key& key) const;
+};
+
+/// What an owner knows of one of its buckets.
+struct bucket_hold {
+    /// No one owned the bucket before, or the former owner handed all its records over.
+    bool history_complete = false;
+    /// When this instance first saw its grant.
+    wall_time granted;
+};
+
+/// Follows the grants and the lease of one instance. A bucket may be served only while the lease
+/// holds on the instance's own monotonic clock.
+class ownership {
+public:
+    ownership(instance_id self, incarnation self_incarnation);
+
+    /// Takes over \p table as it is seen at \p seen.
+    void on_table(const bucket_table& table, wall_time seen);
+
+    /// The lease was renewed: it ends at \p until unless renewed again.
+    void on_lease(instant until);
+
+    /// Gives up all buckets for good, before a graceful leave.
+    void release_all();
+
+    /// The former owner's records of a bucket have all been taken over.
+    void on_history_taken_over(const bucket_home& home, bucket_index bucket);
+
+    /// Returns what is known of the bucket of \p key, or nothing when it may not be served now.
+    std::optional<bucket_hold> may_serve(const service_name& service, const idempotency_key& key,
+                                         instant now) const;
+
+    bool released() const { return released_; }
+    instant lease_until() const { return lease_until_; }
+    std::size_t buckets_held() const { return holds_.size(); }
+
+private:
+    using hold_key = std::pair<bucket_home, bucket_index>;
+
+    instance_id self_;
+    incarnation self_incarnation_;
+    instant lease_until_;
+    bool released_ = false;
+    std::map<hold_key, bucket_hold> holds_;
+};
+
+} // namespace fescuedyke
+
+#endif
--- /dev/null
+++ b/include/fescuedyke/routing/target_view.h
@@ -0,0 +1,59 @@
+#ifndef FESCUEDYKE_ROUTING_TARGET_VIEW_H
+#define FESCUEDYKE_ROUTING_TARGET_VIEW_H
+
+#include "fescuedyke/policy/labels.h"
+#include "fescuedyke/support/ids.h"
+#include "fescuedyke/support/time.h"
+
+#include <map>
+#include <string>
+#include <vector>
+
+/// \file
+/// The targets that a node may route to, as membership last told it.
+
+namespace fescuedyke {
+
+/// Where a process can be reached.
+struct endpoint {
+    std::string host;
+    std::uint16_t port = 0;
+
+    friend bool operator==(const endpoint& a, const endpoint& b)
+    {
+        return a.host == b.host && a.port == b.port;
+    }
+    friend bool operator!=(const endpoint& a, const endpoint& b) { return !(a == b); }
+};
+
+/// Region and availability zone of a process.
+struct locality {
+    region_name region;
+    zone_name zone;
+};
+
+/// Whether a target takes new work.
+enum class target_state : std::uint8_t { ready, draining };
+
+/// One target and the node beside it.
+struct target_info {
+    instance_id instance;
+    incarnation node_incarnation;
+    endpoint node_address;
+    locality place;
+    service_name service;
+    owner_name owner;
+    label_set labels;
+    int slots = 0;
+    target_state state = target_state::ready;
+};
+
+/// All targets of the services that a node calls, by service.
+struct target_view {
+    std::uint64_t version = 0;
+    std::map<service_name, std::vector<target_info>> services;
+};
+
+} // namespace fescuedyke
+
+#endif
--- /dev/null
+++ b/include/fescuedyke/support/random.h
@@ -0,0 +1,22 @@
+#ifndef FESCUEDYKE_SUPPORT_RANDOM_H
+#define FESCUEDYKE_SUPPORT_RANDOM_H
+
+#include <random>
+
+/// \file
+/// The generator that is passed to whatever draws random numbers.
+
+namespace fescuedyke {
+
+/// A seeded generator; the owner of a core constructs it and prints the seed.
+using random_source = std::mt19937_64;
+
+/// Returns a draw from [0, bound). \p bound must be positive.
+inline std::uint64_t draw_below(random_source& random, std::uint64_t bound)
+{
+    return random() % bound;
+}
+
+} // namespace fescuedyke
+
+#endif
--- /dev/null
+++ b/lib/admission/admission_queue.cpp
@@ -0,0 +1,267 @@
+#include "fescuedyke/admission/admission_queue.h"
+
+#include <algorithm>
+#include <cassert>
+#include <cmath>
+#include <iterator>
+
+namespace fescuedyke {
+
+namespace {
+
+constexpr std::size_t least_queue = 2;
+
+/// Time before a queued call is doomed at which running idempotent work is cancelled for it; more
+/// than the period of expire().
+constexpr millis rescue_margin{25};
+
+} // namespace
+
+admission_queue::admission_queue(const admission_settings& settings)
+    : settings_(settings), limit_(settings.slots)
+{
+}
+
+int admission_queue::effective_limit() const
+{
+    const double warm = std::ceil(limit_.slots() * warm_up_share_);
+    return std::max(1, std::min(limit_.current(), static_cast<int>(warm)));
+}
+
+std::size_t admission_queue::queue_capacity() const
+{
+    return std::max(least_queue, static_cast<std::size_t>(effective_limit()));
+}
+
+bool admission_queue::doomed(const admission_entry& entry, std::size_t ahead) const
+{
+    const double rounds = static_cast<double>(ahead) / effective_limit();
+    const bool waits = running() >= effective_limit();
+    const double wait = waits ? (rounds + 0.5) * limit_.service_time() : 0.0;
+    return wait + limit_.floor_time() > static_cast<double>(entry.deadline.since_origin());
+}
+
+std::size_t admission_queue::position_of(rank order) const
+{
+    // The queue is at most as long as the limit, so that a walk is cheap.
+    const auto end = queue_.lower_bound({order, next_arrival_});
+    return static_cast<std::size_t>(std::distance(queue_.begin(), end));
+}
+
+std::optional<inbound_id> admission_queue::find_preemptible(rank order) const
+{
+    const admission_entry* worst = nullptr;
+    for (const auto& [id, entry] : running_) {
+        const bool lower_class = entry.order.cls() > order.cls();
+        if (entry.idempotent && lower_class && (worst == nullptr || entry.order > worst->order)) {
+            worst = &entry;
+        }
+    }
+    return worst == nullptr ? std::nullopt : std::optional<inbound_id>(worst->id);
+}
+
+bool admission_queue::preempt_for(const admission_entry& entry, admission_result& result)
+{
+    const std::optional<inbound_id> victim =
+        settings_.preemption ? find_preemptible(entry.order) : std::nullopt;
+    if (!victim) {
+        return false;
+    }
+    release(*victim);
+    result.preempted.push_back(*victim);
+    return true;
+}
+
+void admission_queue::enqueue(const admission_entry& entry)
+{
+    const queue_key key{entry.order, next_arrival_++};
+    queue_.emplace(key, entry);
+    queued_ids_.emplace(entry.id, key);
+    bytes_held_ += entry.bytes;
+}
+
+void admission_queue::start(const admission_entry& entry, admission_result& result)
+{
+    running_.emplace(entry.id, entry);
+    bytes_held_ += entry.bytes;
+    result.run.push_back(entry.id);
+}
+
+void admission_queue::shed(const admission_entry& entry, outcome_reason reason,
+                           admission_result& result)
+{
+    result.shed.push_back({entry.id, reason});
+}
+
+admission_result admission_queue::offer(const admission_entry& entry, instant now)
+{
+    admission_result result;
+    if (bytes_held_ + entry.bytes > settings_.memory_bytes) {
+        shed(entry, outcome_reason::memory_full, result);
+        return result;
+    }
+    admission_entry relative = entry;
+    relative.deadline = instant((entry.deadline - now).count());
+    const bool is_free = running() < effective_limit() && queue_.empty();
+    if (is_free && !doomed(relative, 0)) {
+        start(entry, result);
+        return result;
+    }
+    if (doomed(relative, position_of(entry.order))) {
+        const auto left = static_cast<double>(relative.deadline.since_origin());
+        if (!is_free && left > limit_.floor_time() && preempt_for(entry, result)) {
+            start(entry, result);
+            return result;
+        }
+        level_.on_shed(now, rank::from_value(std::int64_t{entry.order.value()} - 1));
+        shed(entry, outcome_reason::doomed, result);
+        return result;
+    }
+    if (queue_.size() < queue_capacity()) {
+        enqueue(entry);
+        return result;
+    }
+    const auto tail = std::prev(queue_.end());
+    if (entry.order >= tail->first.first) {
+        if (preempt_for(entry, result)) {
+            enqueue(entry);
+            start_waiting(now, result);
+            return result;
+        }
+        level_.on_shed(now, tail->first.first);
+        shed(entry, outcome_reason::overloaded, result);
+        return result;
+    }
+    const admission_entry evicted = tail->second;
+    const bool evicted_removed = remove_queued(evicted.id);
+    assert(evicted_removed && "the tail of the queue must be queued");
+    (void)evicted_removed;
+    enqueue(entry);
+    if (preempt_for(evicted, result)) {
+        enqueue(evicted);
+        start_waiting(now, result);
+        return result;
+    }
+    level_.on_shed(now, std::prev(queue_.end())->first.first);
+    shed(evicted, outcome_reason::overloaded, result);
+    return result;
+}
+
+void admission_queue::release(inbound_id id)
+{
+    const auto found = running_.find(id);
+    if (found == running_.end()) {
+        return;
+    }
+    bytes_held_ -= found->second.bytes;
+    running_.erase(found);
+}
+
+void admission_queue::start_waiting(instant now, admission_result& result)
+{
+    while (!queue_.empty() && running() < effective_limit()) {
+        const admission_entry entry = queue_.begin()->second;
+        remove_queued(entry.id);
+        const double left = static_cast<double>((entry.deadline - now).count());
+        if (left <= 0 || left < limit_.floor_time()) {
+            shed(entry, outcome_reason::doomed, result);
+            continue;
+        }
+        start(entry, result);
+    }
+}
+
+admission_result admission_queue::finish(inbound_id id, bool answered, millis took, instant now)
+{
+    admission_result result;
+    if (running_.count(id) == 0) {
+        return result;
+    }
+    if (answered) {
+        limit_.on_completed(now, took, running());
+    }
+    release(id);
+    start_waiting(now, result);
+    return result;
+}
+
+admission_result admission_queue::finish_shed(inbound_id id, instant now)
+{
+    admission_result result;
+    if (running_.count(id) == 0) {
+        return result;
+    }
+    limit_.on_target_shed(now, running());
+    release(id);
+    start_waiting(now, result);
+    return result;
+}
+
+bool admission_queue::remove_queued(inbound_id id)
+{
+    const auto found = queued_ids_.find(id);
+    if (found == queued_ids_.end()) {
+        return false;
+    }
+    const auto entry = queue_.find(found->second);
+    assert(entry != queue_.end() && "a queued id must be in the queue");
+    bytes_held_ -= entry->second.bytes;
+    queue_.erase(entry);
+    queued_ids_.erase(found);
+    return true;
+}
+
+admission_result admission_queue::expire(instant now)
+{
+    admission_result result;
+    std::vector<inbound_id> expired;
+    std::vector<admission_entry> at_risk;
+    for (const auto& [key, entry] : queue_) {
+        const double left = static_cast<double>((entry.deadline - now).count());
+        if (left <= 0) {
+            expired.push_back(entry.id);
+        }
+        else if (left <= limit_.floor_time() + static_cast<double>(rescue_margin.count())) {
+            at_risk.push_back(entry);
+        }
+    }
+    for (const admission_entry& entry : at_risk) {
+        if (preempt_for(entry, result)) {
+            remove_queued(entry.id);
+            start(entry, result);
+        }
+    }
+    for (const inbound_id id : expired) {
+        remove_queued(id);
+        result.shed.push_back({id, outcome_reason::doomed});
+    }
+    start_waiting(now, result);
+    return result;
+}
+
+void admission_queue::set_slots(int slots)
+{
+    if (slots != limit_.slots()) {
+        limit_ = concurrency_limit(slots);
+    }
+}
+
+void admission_queue::set_warm_up_share(double share)
+{
+    warm_up_share_ = std::clamp(share, 0.0, 1.0);
+}
+
+load_report admission_queue::report(instant now) const
+{
+    load_report report;
+    report.level = level_.current(now);
+    report.chain_level = report.level;
+    report.in_progress = running() + queued();
+    report.limit = effective_limit();
+    const double rounds = static_cast<double>(queued()) / effective_limit();
+    const double expected = limit_.service_time() * (1.0 + rounds);
+    report.expected_time = millis(static_cast<std::int64_t>(expected));
+    return report;
+}
+
+} // namespace fescuedyke
--- /dev/null
+++ b/lib/call/call.cpp
@@ -0,0 +1,107 @@
+#include "fescuedyke/call/context.h"
+#include "fescuedyke/support/hash.h"
+
+namespace fescuedyke {
+
+namespace {
+
+constexpr std::uint64_t lot_seed = 0x6c6f74;
+
+struct reason_facts {
+    const char* name;
+    bool retry_helps;
+    int retry_after_ms;
+    bool local;
+};
+
+constexpr reason_facts facts[outcome_reason_count] = {
+    {"none", false, 0, false},
+    {"overloaded", true, 200, true},
+    {"service-overloaded", true, 1000, false},
+    {"doomed", true, 200, true},
+    {"draining", true, 0, true},
+    {"no-target", true, 1000, false},
+    {"not-ready", true, 500, true},
+    {"too-large", false, 0, false},
+    {"memory-full", true, 500, true},
+    {"bad-request", false, 0, false},
+    {"key-missing", false, 0, false},
+    {"key-invalid", false, 0, false},
+    {"key-too-old", false, 0, false},
+    {"key-from-future", false, 0, false},
+    {"key-fenced", true, 0, false},
+    {"not-owner", true, 500, false},
+    {"ownership-changed", false, 0, false},
+    {"target-shed", true, 200, true},
+    {"target-unreachable", true, 200, true},
+    {"peer-unreachable", true, 200, true},
+    {"connection-lost", true, 0, false},
+    {"timed-out", true, 200, false},
+    {"cancelled", false, 0, false},
+    {"preempted", true, 200, false},
+    {"truncated", true, 0, false},
+    {"answer-not-kept", false, 0, false},
+};
+
+const reason_facts& facts_of(outcome_reason reason)
+{
+    return facts[static_cast<std::size_t>(reason)];
+}
+
+outcome make_outcome(outcome_kind kind, outcome_reason reason)
+{
+    const reason_facts& f = facts_of(reason);
+    return {kind, reason, f.retry_helps, millis(f.retry_after_ms)};
+}
+
+} // namespace
+
+std::uint16_t lot_of(root_id root)
+{
+    return static_cast<std::uint16_t>(stable_hash(root.value(), lot_seed));
+}
+
+const std::string* find_header(const std::vector<header>& headers, const std::string& name)
+{
+    for (const header& h : headers) {
+        if (h.name == name) {
+            return &h.value;
+        }
+    }
+    return nullptr;
+}
+
+const char* to_string(outcome_kind kind)
+{
+    switch (kind) {
+    case outcome_kind::answered:
+        return "answered";
+    case outcome_kind::not_run:
+        return "not-run";
+    case outcome_kind::unknown:
+        return "unknown";
+    }
+    return "unknown";
+}
+
+const char* to_string(outcome_reason reason)
+{
+    return facts_of(reason).name;
+}
+
+outcome outcome::not_run(outcome_reason reason)
+{
+    return make_outcome(outcome_kind::not_run, reason);
+}
+
+outcome outcome::unknown(outcome_reason reason)
+{
+    return make_outcome(outcome_kind::unknown, reason);
+}
+
+bool is_local_refusal(outcome_reason reason)
+{
+    return facts_of(reason).local;
+}
+
+} // namespace fescuedyke
--- /dev/null
+++ b/lib/once/once.cpp
@@ -0,0 +1,99 @@
+#include "fescuedyke/once/idempotency_key.h"
+#include "fescuedyke/once/ownership.h"
+
+#include "fescuedyke/support/hash.h"
+#include "fescuedyke/support/uuid.h"
+
+#include <utility>
+
+namespace fescuedyke {
+
+namespace {
+
+constexpr std::size_t longest_home = 64;
+
+} // namespace
+
+absl::StatusOr<idempotency_key> parse_idempotency_key(const std::string& text)
+{
+    idempotency_key key;
+    key.text = text;
+    const auto colon = text.find(':');
+    std::string uuid = text;
+    if (colon != std::string::npos) {
+        if (colon == 0 || colon > longest_home) {
+            return absl::InvalidArgumentError("idempotency key has an invalid home");
+        }
+        key.home = region_name(text.substr(0, colon));
+        uuid = text.substr(colon + 1);
+    }
+    const absl::StatusOr<wall_time> created = parse_uuid7_time(uuid);
+    if (!created.ok()) {
+        return created.status();
+    }
+    key.created = *created;
+    key.bucket = bucket_index(static_cast<std::uint32_t>(stable_hash(text) % buckets_per_home));
+    return key;
+}
+
+const bucket_grant* bucket_table::find(const service_name& service,
+                                       const idempotency_key& key) const
+{
+    const auto found = homes.find({service, key.home});
+    return found == homes.end() ? nullptr : &found->second[key.bucket.value()];
+}
+
+ownership::ownership(instance_id self, incarnation self_incarnation)
+    : self_(std::move(self)), self_incarnation_(self_incarnation)
+{
+}
+
+void ownership::on_table(const bucket_table& table, wall_time seen)
+{
+    std::map<hold_key, bucket_hold> holds;
+    for (const auto& [home, grants] : table.homes) {
+        for (std::uint32_t i = 0; i < buckets_per_home; ++i) {
+            const bucket_grant& grant = grants[i];
+            if (grant.owner != self_ || grant.owner_incarnation != self_incarnation_) {
+                continue;
+            }
+            const hold_key key{home, bucket_index(i)};
+            const auto known = holds_.find(key);
+            holds[key] = known != holds_.end() ? known->second : bucket_hold{grant.epoch == 1, seen};
+        }
+    }
+    holds_ = std::move(holds);
+}
+
+void ownership::on_lease(instant until)
+{
+    lease_until_ = until > lease_until_ ? until : lease_until_;
+}
+
+void ownership::release_all()
+{
+    released_ = true;
+}
+
+void ownership::on_history_taken_over(const bucket_home& home, bucket_index bucket)
+{
+    const auto found = holds_.find({home, bucket});
+    if (found != holds_.end()) {
+        found->second.history_complete = true;
+    }
+}
+
+std::optional<bucket_hold> ownership::may_serve(const service_name& service,
+                                                const idempotency_key& key, instant now) const
+{
+    if (released_ || now >= lease_until_) {
+        return std::nullopt;
+    }
+    const auto found = holds_.find({{service, key.home}, key.bucket});
+    if (found == holds_.end()) {
+        return std::nullopt;
+    }
+    return found->second;
+}
+
+} // namespace fescuedyke
--- /dev/null
+++ b/lib/policy/yaml_reader.cpp
@@ -0,0 +1,254 @@
+#include "fescuedyke/policy/yaml_reader.h"
+
+#include <cctype>
+#include <charconv>
+#include <optional>
+#include <utility>
+
+namespace fescuedyke {
+
+namespace {
+
+struct unit {
+    const char* name;
+    std::int64_t factor;
+};
+
+constexpr unit time_units[] = {{"ms", 1}, {"s", 1000}, {"m", 60 * 1000}};
+constexpr unit size_units[] = {{"B", 1}, {"KiB", 1024}, {"MiB", 1024 * 1024}};
+
+constexpr std::int64_t largest_count = 1'000'000'000'000;
+
+std::optional<std::int64_t> parse_integer(const std::string& text)
+{
+    std::int64_t value = 0;
+    const char* end = text.data() + text.size();
+    const auto result = std::from_chars(text.data(), end, value);
+    if (result.ec != std::errc() || result.ptr != end) {
+        return std::nullopt;
+    }
+    return value;
+}
+
+template <std::size_t N>
+std::optional<std::int64_t> parse_with_unit(const std::string& text, const unit (&units)[N])
+{
+    std::size_t digits = 0;
+    while (digits < text.size() && std::isdigit(static_cast<unsigned char>(text[digits])) != 0) {
+        ++digits;
+    }
+    const std::optional<std::int64_t> count = parse_integer(text.substr(0, digits));
+    if (!count || *count > largest_count) {
+        return std::nullopt;
+    }
+    for (const unit& u : units) {
+        if (text.substr(digits) == u.name) {
+            return *count * u.factor;
+        }
+    }
+    return std::nullopt;
+}
+
+} // namespace
+
+void yaml_faults::add(const YAML::Node& node, const std::string& key, const std::string& what)
+{
+    const int line = node.IsDefined() ? node.Mark().line + 1 : 0;
+    const std::string where = line > 0 ? "line " + std::to_string(line) + ": " : "";
+    lines_.push_back(where + key + ": " + what);
+}
+
+absl::Status yaml_faults::status() const
+{
+    if (lines_.empty()) {
+        return absl::OkStatus();
+    }
+    std::string all;
+    for (const std::string& line : lines_) {
+        all += (all.empty() ? "" : "\n") + line;
+    }
+    return absl::InvalidArgumentError(all);
+}
+
+yaml_mapping::yaml_mapping(YAML::Node node, std::string path, yaml_faults& faults)
+    : node_(std::move(node)), path_(std::move(path)), faults_(faults)
+{
+}
+
+std::string yaml_mapping::full(const std::string& key) const
+{
+    return path_.empty() ? key : path_ + "." + key;
+}
+
+YAML::Node yaml_mapping::find(const std::string& key)
+{
+    known_.insert(key);
+    if (!node_.IsDefined() || !node_.IsMap()) {
+        return YAML::Node(YAML::NodeType::Undefined);
+    }
+    return std::as_const(node_)[key];
+}
+
+bool yaml_mapping::has(const std::string& key)
+{
+    const YAML::Node found = find(key);
+    return found.IsDefined() && !found.IsNull();
+}
+
+void yaml_mapping::fault(const std::string& key, const std::string& what)
+{
+    const YAML::Node found = find(key);
+    faults_.add(found.IsDefined() ? found : node_, full(key), what);
+}
+
+std::string yaml_mapping::text(const std::string& key, const std::string& otherwise)
+{
+    if (!has(key)) {
+        return otherwise;
+    }
+    const YAML::Node found = find(key);
+    if (!found.IsScalar()) {
+        fault(key, "must be a text");
+        return otherwise;
+    }
+    return found.Scalar();
+}
+
+std::string yaml_mapping::required_text(const std::string& key)
+{
+    std::string value = text(key, "");
+    if (value.empty()) {
+        fault(key, "is missing");
+    }
+    return value;
+}
+
+bool yaml_mapping::boolean(const std::string& key, bool otherwise)
+{
+    if (!has(key)) {
+        return otherwise;
+    }
+    const std::string value = text(key, "");
+    if (value != "true" && value != "false") {
+        fault(key, "must be true or false");
+        return otherwise;
+    }
+    return value == "true";
+}
+
+std::int64_t yaml_mapping::integer(const std::string& key, std::int64_t otherwise,
+                                   std::int64_t least, std::int64_t most)
+{
+    if (!has(key)) {
+        return otherwise;
+    }
+    const std::optional<std::int64_t> value = parse_integer(text(key, ""));
+    if (!value || *value < least || *value > most) {
+        fault(key, "must be a whole number from " + std::to_string(least) + " to " +
+                       std::to_string(most));
+        return otherwise;
+    }
+    return *value;
+}
+
+millis yaml_mapping::duration(const std::string& key, millis otherwise, millis least, millis most)
+{
+    if (!has(key)) {
+        return otherwise;
+    }
+    const std::optional<std::int64_t> value = parse_with_unit(text(key, ""), time_units);
+    if (!value) {
+        fault(key, "must be a time with its unit, such as 250ms, 2s or 1m");
+        return otherwise;
+    }
+    if (*value < least.count() || *value > most.count()) {
+        fault(key, "must be from " + std::to_string(least.count()) + "ms to " +
+                       std::to_string(most.count()) + "ms");
+        return otherwise;
+    }
+    return millis(*value);
+}
+
+std::uint64_t yaml_mapping::bytes(const std::string& key, std::uint64_t otherwise,
+                                  std::uint64_t most)
+{
+    if (!has(key)) {
+        return otherwise;
+    }
+    const std::optional<std::int64_t> value = parse_with_unit(text(key, ""), size_units);
+    if (!value || static_cast<std::uint64_t>(*value) > most) {
+        fault(key, "must be a size with its unit, such as 512B, 64KiB or 64MiB, at most " +
+                       std::to_string(most) + "B");
+        return otherwise;
+    }
+    return static_cast<std::uint64_t>(*value);
+}
+
+yaml_mapping yaml_mapping::child(const std::string& key)
+{
+    const YAML::Node found = find(key);
+    if (found.IsDefined() && !found.IsNull() && !found.IsMap()) {
+        fault(key, "must be a mapping");
+    }
+    return yaml_mapping(found, full(key), faults_);
+}
+
+std::vector<YAML::Node> yaml_mapping::items(const std::string& key)
+{
+    const YAML::Node found = find(key);
+    if (!found.IsDefined() || found.IsNull()) {
+        return {};
+    }
+    if (!found.IsSequence()) {
+        fault(key, "must be a list");
+        return {};
+    }
+    return {found.begin(), found.end()};
+}
+
+std::vector<std::string> yaml_mapping::texts(const std::string& key)
+{
+    std::vector<std::string> result;
+    for (const YAML::Node& item : items(key)) {
+        if (!item.IsScalar()) {
+            faults_.add(item, full(key), "must be a list of texts");
+            continue;
+        }
+        result.push_back(item.Scalar());
+    }
+    return result;
+}
+
+void yaml_mapping::reject_unknown_keys()
+{
+    if (!node_.IsDefined() || !node_.IsMap()) {
+        return;
+    }
+    std::set<std::string> seen;
+    for (const auto& entry : node_) {
+        const std::string key = entry.first.IsScalar() ? entry.first.Scalar() : "?";
+        if (known_.count(key) == 0) {
+            faults_.add(entry.first, full(key), "is not a known key");
+        }
+        if (!seen.insert(key).second) {
+            faults_.add(entry.first, full(key), "is given twice");
+        }
+    }
+}
+
+absl::StatusOr<YAML::Node> load_yaml_mapping(const std::string& text)
+{
+    try {
+        YAML::Node node = YAML::Load(text);
+        if (!node.IsMap()) {
+            return absl::InvalidArgumentError("the document is not a mapping");
+        }
+        return node;
+    }
+    catch (const YAML::Exception& error) {
+        return absl::InvalidArgumentError("line " + std::to_string(error.mark.line + 1) + ": " +
+                                          error.msg);
+    }
+}
+
+} // namespace fescuedyke
--- /dev/null
+++ b/lib/retry/retry.cpp
@@ -0,0 +1,47 @@
+#include "fescuedyke/retry/allowance.h"
+#include "fescuedyke/retry/pair_budget.h"
+
+#include <algorithm>
+
+namespace fescuedyke {
+
+bool retry_allowance::spend()
+{
+    if (left_ == 0) {
+        return false;
+    }
+    --left_;
+    return true;
+}
+
+int retry_allowance::lend()
+{
+    const int share = (left_ + 1) / 2;
+    left_ -= share;
+    return share;
+}
+
+void retry_allowance::give_back(int unused, int lent)
+{
+    left_ += std::clamp(unused, 0, lent);
+}
+
+pair_budget::pair_budget(double share, double most) : share_(share), most_(most), tokens_(most)
+{
+}
+
+void pair_budget::on_success()
+{
+    tokens_ = std::min(most_, tokens_ + share_);
+}
+
+bool pair_budget::spend()
+{
+    if (tokens_ < 1.0) {
+        return false;
+    }
+    tokens_ -= 1.0;
+    return true;
+}
+
+} // namespace fescuedyke
