--- a/include/fescuedyke/call/context.h
+++ b/include/fescuedyke/call/context.h
@@ -57,6 +57,8 @@
 /// What the receiving node sends back for one attempt.
 struct call_reply {
     outcome result;
+    /// With "not run" about a key: no copy up to the client's try in question will ever run.
+    bool fenced = false;
     /// Valid when the result is answered.
     http_answer answer;
     /// Retries not used by the attempt and all below it.
--- /dev/null
+++ b/include/fescuedyke/consensus/raft_core.h
@@ -0,0 +1,201 @@
+#ifndef FESCUEDYKE_CONSENSUS_RAFT_CORE_H
+#define FESCUEDYKE_CONSENSUS_RAFT_CORE_H
+
+#include "fescuedyke/consensus/messages.h"
+#include "fescuedyke/consensus/replicated_log.h"
+#include "fescuedyke/support/random.h"
+#include "fescuedyke/support/time.h"
+
+#include <absl/status/status.h>
+#include <absl/status/statusor.h>
+
+#include <map>
+#include <optional>
+#include <set>
+#include <string>
+#include <vector>
+
+/// \file
+/// One member's part in agreeing on the log.
+
+namespace fescuedyke {
+
+struct raft_settings {
+    millis heartbeat{100};
+    /// Elections start after between one and two of these without a leader.
+    millis election_timeout{600};
+    std::size_t max_entries_per_append = 64;
+    std::size_t snapshot_chunk_bytes = 256U << 10U;
+    /// Silence after which the leader replaces a member whose instance came back with another disk.
+    millis replace_after{3000};
+};
+
+/// What a member starts from: all that its disk holds.
+struct durable_state {
+    hard_state hard;
+    snapshot base;
+    std::vector<log_entry> entries;
+};
+
+/// A message and the member it goes to.
+struct outgoing_message {
+    member_id to;
+    endpoint address;
+    consensus_message message;
+};
+
+/// What is to be done after a step, in this order: persist, confirm by on_persisted(), send, apply.
+struct raft_output {
+    std::optional<hard_state> hard;
+    /// A received snapshot that replaces the whole log.
+    std::optional<snapshot> install;
+    /// Entries from here on are dropped before the new ones are written.
+    std::optional<log_index> truncate_from;
+    std::vector<log_entry> append;
+    std::vector<outgoing_message> messages;
+    /// Committed entries, each handed out once and in order.
+    std::vector<log_entry> committed;
+
+    bool must_persist() const { return hard || install || truncate_from || !append.empty(); }
+};
+
+enum class raft_role : std::uint8_t { follower, pre_candidate, candidate, leader };
+
+const char* to_string(raft_role role);
+
+/// Raft without clock, socket or disk. A member with an empty log takes part in an election only
+/// when all initial members first meet, or when the candidate knows it by its disk: a member that
+/// lost its disk can therefore never vote again under its old identity.
+class raft_core {
+public:
+    /// \p self tells this member's identity and addresses; \p initial_members holds it as well,
+    /// and the disks in it may be unknown.
+    raft_core(const raft_settings& settings, member_entry self, member_list initial_members,
+              durable_state state, random_source& random);
+
+    void tick(instant now);
+    void receive(const consensus_message& message, instant now);
+
+    /// Appends a command. Fails with kUnavailable when this member does not lead.
+    absl::StatusOr<log_index> propose(std::string command, instant now);
+
+    /// Starts a change of one member. Fails with kUnavailable when this member does not lead and
+    /// with kFailedPrecondition while another change is under way.
+    absl::Status propose_members(member_list next, instant now);
+
+    /// Everything of the last output is on disk.
+    void on_persisted();
+
+    /// Hands over what has accumulated.
+    raft_output take_output();
+
+    /// \p data is the state after applying everything up to \p index, which must be committed.
+    snapshot make_snapshot(log_index index, std::string data) const;
+    /// The snapshot is on disk: entries up to it are dropped.
+    void on_snapshot_persisted(const snapshot& s);
+
+    /// Asks the best follower to take over before this member stops.
+    void hand_over(instant now);
+
+    bool is_leader() const { return role_ == raft_role::leader; }
+    raft_role role() const { return role_; }
+    log_term term() const { return hard_.term; }
+    log_index commit_index() const { return commit_; }
+    const replicated_log& log() const { return log_; }
+    const member_id& self() const { return self_; }
+    const std::optional<member_id>& leader() const { return leader_; }
+    bool is_member() const;
+
+    /// Returns whether this member leads and a quorum has confirmed so within less than the
+    /// shortest election timeout: no other leader can have committed anything since.
+    bool leads_for_certain(instant now) const;
+
+    /// Returns when the latest beacon was sent or received that a quorum stood behind.
+    instant confirmed_at() const { return confirmed_at_; }
+
+    /// An instance with a disk that asked to become a member.
+    struct joiner {
+        join_request request;
+        instant heard;
+    };
+    const std::map<member_id, joiner>& joiners() const { return joiners_; }
+
+private:
+    struct progress {
+        log_index next;
+        log_index match;
+        instant last_heard;
+        instant last_sent;
+        bool awaiting = false;
+        /// Send time of the latest round that the member has confirmed.
+        instant confirmed_round;
+        std::uint64_t snapshot_offset = 0;
+    };
+
+    void on(const member_id& from, const vote_request& m, instant now);
+    void on(const member_id& from, const vote_reply& m, instant now);
+    void on(const member_id& from, const append_request& m, instant now);
+    void on(const member_id& from, const append_reply& m, instant now);
+    void on(const member_id& from, const snapshot_chunk& m, instant now);
+    void on(const member_id& from, const snapshot_reply& m, instant now);
+    void on(const member_id& from, const join_request& m, instant now);
+    void on(const member_id& from, const campaign_now& m, instant now);
+
+    void become_follower(log_term term, instant now);
+    void start_election(bool pre_vote, bool handed_over, instant now);
+    void ask_to_join(instant now);
+    bool replace_returned(member_list next, const member_id& id, const joiner& j, instant now);
+    void become_leader(instant now);
+    void tick_leader(instant now);
+    void reset_election_timer(instant now);
+    bool may_grant(const member_id& from, const vote_request& m, instant now) const;
+    bool log_is_as_new(const vote_request& m) const;
+    bool won() const;
+    bool accepts_leader(const member_id& from, log_term term, std::uint64_t disk, instant now);
+    void append_new(const append_request& m);
+    void append_own(log_entry entry);
+    void send(const member_id& to, consensus_body body);
+    void send_append(const member_entry& to, instant now);
+    void send_snapshot(const member_entry& to, progress& p, instant now);
+    void broadcast(instant now);
+    void advance_commit(instant now);
+    void deliver_committed();
+    void note_quorum(instant now);
+    void tend_members(instant now);
+    const member_entry* find_member(const member_id& id) const;
+    const member_entry* find_named(const std::string& name) const;
+    std::size_t voters() const;
+    std::size_t quorum() const { return voters() / 2 + 1; }
+    bool is_voter() const;
+
+    raft_settings settings_;
+    member_id self_;
+    member_entry self_entry_;
+    random_source& random_;
+    hard_state hard_;
+    replicated_log log_;
+    raft_role role_ = raft_role::follower;
+    log_index commit_;
+    log_index delivered_;
+    log_index persisted_;
+    std::optional<member_id> leader_;
+    instant last_leader_contact_;
+    bool heard_leader_ = false;
+    instant election_due_;
+    bool timer_set_ = false;
+    std::set<member_id> votes_;
+    std::map<member_id, progress> progress_;
+    std::map<std::uint64_t, instant> rounds_;
+    std::uint64_t round_ = 0;
+    instant confirmed_at_;
+    instant last_broadcast_;
+    instant last_join_;
+    std::map<member_id, joiner> joiners_;
+    std::string incoming_snapshot_;
+    log_index incoming_index_;
+    raft_output output_;
+};
+
+} // namespace fescuedyke
+
+#endif
--- /dev/null
+++ b/include/fescuedyke/node/inbound_calls.h
@@ -0,0 +1,118 @@
+#ifndef FESCUEDYKE_NODE_INBOUND_CALLS_H
+#define FESCUEDYKE_NODE_INBOUND_CALLS_H
+
+#include "fescuedyke/account/account.h"
+#include "fescuedyke/admission/admission_queue.h"
+#include "fescuedyke/node/actions.h"
+#include "fescuedyke/node/events.h"
+#include "fescuedyke/node/node_settings.h"
+#include "fescuedyke/once/run_registry.h"
+#include "fescuedyke/retry/allowance.h"
+
+#include <map>
+#include <optional>
+#include <set>
+#include <string>
+#include <vector>
+
+/// \file
+/// The receiving side of a node: calls on their way to the target beside it.
+
+namespace fescuedyke {
+
+/// A call as it is known while the target serves it.
+struct inbound_call {
+    enum class stage : std::uint8_t { queued, running, joined };
+
+    inbound_id id;
+    reply_address reply_to;
+    call_context context;
+    shared_request request;
+    instant deadline;
+    /// Retries for the calls that the target makes while it serves this one.
+    retry_allowance allowance{0};
+    stage at = stage::queued;
+    instant dispatched;
+    account_key row;
+    std::optional<idempotency_key> key;
+};
+
+/// Admits calls, hands them to the target, and replies once for each.
+class inbound_calls {
+public:
+    inbound_calls(const node_settings& settings, ownership& owned, account& accounts,
+                  const target_chooser& chooser, const flow_dependencies& dependencies,
+                  node_actions& actions);
+
+    void on_call(const call_context& context, const shared_request& request,
+                 const reply_address& reply_to, moment at);
+    void on_cancelled(const reply_address& reply_to, moment at);
+    void on_answered(const target_answered& event, moment at);
+    void on_failed(const target_failed& event, moment at);
+    void on_announced(const target_announced& event, moment at);
+    void on_draining();
+    void on_records(const records_handed_over& event);
+    void expire(moment at);
+
+    /// Returns the call that the target is serving under \p id, or nullptr.
+    inbound_call* serving(inbound_id id);
+
+    /// Calls that ended since this was last asked; the calls below them are no longer wanted.
+    std::vector<inbound_id> take_ended();
+
+    bool has_target() const { return admission_.has_value(); }
+    bool draining() const { return draining_; }
+    /// Returns whether the target takes new work at \p now.
+    bool ready(instant now) const { return has_target() && !draining_ && now < lease_until_; }
+    const service_name& service() const { return service_; }
+    bool idle() const { return calls_.empty(); }
+    std::size_t open_calls() const { return calls_.size(); }
+    const std::optional<admission_queue>& admission() const { return admission_; }
+    const run_registry& registry() const { return registry_; }
+
+private:
+    std::optional<outcome> refusal_before_admission(const call_context& context,
+                                                   instant now) const;
+    void admit(inbound_call& call, instant now);
+    void begin_keyed(inbound_call& call, moment at);
+    void apply(const admission_result& result, instant now);
+    void dispatch(inbound_call& call, instant now);
+    void end(inbound_id id, const outcome& result, const http_answer& answer, instant now);
+    void end_keyed(const idempotency_key& key, const outcome& result, const http_answer& answer);
+    void end_joined(const std::string& key, const outcome& result, const http_answer& answer,
+                    instant now);
+    void reply(const inbound_call& call, const outcome& result, const http_answer& answer,
+               instant now);
+    void detach(inbound_call& call);
+    void abandon(inbound_call& call, outcome_reason reason, instant now);
+    void time_out(inbound_call& call, instant now);
+    load_report load(flow_id flow, instant now) const;
+    void warm_up(instant now);
+
+    const node_settings& settings_;
+    ownership& owned_;
+    account& accounts_;
+    const target_chooser& chooser_;
+    const flow_dependencies& dependencies_;
+    node_actions& actions_;
+    run_registry registry_;
+    std::optional<admission_queue> admission_;
+    service_name service_;
+    std::uint64_t target_incarnation_ = 0;
+    bool draining_ = false;
+    instant announced_at_;
+    instant lease_until_;
+    millis warm_up_;
+    std::uint64_t next_id_;
+    std::map<inbound_id, inbound_call> calls_;
+    std::set<std::pair<instant, inbound_id>> deadlines_;
+    std::map<exchange_id, inbound_id> by_stream_;
+    std::map<std::pair<call_id, int>, inbound_id> by_attempt_;
+    std::map<std::string, inbound_id> runs_by_key_;
+    std::map<std::string, std::vector<inbound_id>> joined_;
+    std::vector<inbound_id> ended_;
+};
+
+} // namespace fescuedyke
+
+#endif
--- /dev/null
+++ b/include/fescuedyke/node/node_core.h
@@ -0,0 +1,80 @@
+#ifndef FESCUEDYKE_NODE_NODE_CORE_H
+#define FESCUEDYKE_NODE_NODE_CORE_H
+
+#include "fescuedyke/node/actions.h"
+#include "fescuedyke/node/events.h"
+#include "fescuedyke/node/inbound_calls.h"
+#include "fescuedyke/node/node_settings.h"
+#include "fescuedyke/node/outbound_calls.h"
+
+/// \file
+/// All decisions of one node. It opens no socket, starts no thread and reads no clock.
+
+namespace fescuedyke {
+
+/// Takes one event and the time, and returns what is to be done. The same events at the same times
+/// give the same actions.
+class node_core {
+public:
+    /// \p random is drawn from for ids and choices.
+    node_core(const node_settings& settings, random_source& random);
+    ~node_core();
+    node_core(const node_core&) = delete;
+    node_core& operator=(const node_core&) = delete;
+
+    node_actions handle(const node_event& event, moment at);
+
+    /// Returns whether no call is open on either side.
+    bool idle() const;
+
+    /// Returns whether the node has what it needs to serve.
+    bool configured() const { return policies_version_ > config_version(0); }
+
+    const node_settings& settings() const { return settings_; }
+    const account& accounts() const { return accounts_; }
+    const inbound_calls& inbound() const { return inbound_; }
+    const outbound_calls& outbound() const { return outbound_; }
+    const target_chooser& chooser() const { return chooser_; }
+    const ownership& owned() const { return owned_; }
+    config_version policies_version() const { return policies_version_; }
+
+private:
+    void on(const caller_request& event, moment at);
+    void on(const caller_gone& event, moment at);
+    void on(const peer_call& event, moment at);
+    void on(const peer_cancelled& event, moment at);
+    void on(const peer_reply& event, moment at);
+    void on(const peer_failed& event, moment at);
+    void on(const target_answered& event, moment at);
+    void on(const target_failed& event, moment at);
+    void on(const target_announced& event, moment at);
+    void on(const target_draining& event, moment at);
+    void on(const node_stopping& event, moment at);
+    void on(const policies_in_force& event, moment at);
+    void on(const targets_in_view& event, moment at);
+    void on(const owners_in_force& event, moment at);
+    void on(const lease_renewed& event, moment at);
+    void on(const records_handed_over& event, moment at);
+    void on(const tick& event, moment at);
+
+    bool deliver_locally(const node_action& action, moment at);
+    void cancel_below_ended(moment at);
+    void settle(moment at);
+
+    node_settings settings_;
+    node_actions pending_;
+    node_actions outgoing_;
+    account accounts_;
+    ownership owned_;
+    region_budget regions_;
+    target_chooser chooser_;
+    flow_dependencies dependencies_;
+    inbound_calls inbound_;
+    outbound_calls outbound_;
+    config_version policies_version_;
+    instant last_sweep_;
+};
+
+} // namespace fescuedyke
+
+#endif
--- /dev/null
+++ b/include/fescuedyke/node/outbound_calls.h
@@ -0,0 +1,112 @@
+#ifndef FESCUEDYKE_NODE_OUTBOUND_CALLS_H
+#define FESCUEDYKE_NODE_OUTBOUND_CALLS_H
+
+#include "fescuedyke/account/account.h"
+#include "fescuedyke/node/actions.h"
+#include "fescuedyke/node/caller_headers.h"
+#include "fescuedyke/node/events.h"
+#include "fescuedyke/node/inbound_calls.h"
+#include "fescuedyke/node/node_settings.h"
+#include "fescuedyke/retry/allowance.h"
+#include "fescuedyke/retry/pair_budget.h"
+#include "fescuedyke/routing/target_chooser.h"
+
+#include <map>
+#include <memory>
+#include <optional>
+#include <set>
+
+/// \file
+/// The calling side of a node: calls that callers brought, on their way to a target's node.
+
+namespace fescuedyke {
+
+/// A call between its arrival from the caller and its outcome.
+struct outbound_call {
+    call_id id;
+    exchange_id exchange;
+    shared_request request;
+    caller_options options;
+    account_key row;
+    call_context context;
+    instant deadline;
+    bool cross_region = false;
+    retry_allowance allowance{0};
+    /// What the serving call lent to this one; what is left goes back to it.
+    int lent_by_parent = 0;
+    /// What the present attempt was lent.
+    int lent = 0;
+    std::set<instance_id> tried;
+    target_info target;
+    bool attempt_open = false;
+    /// An earlier attempt may have run.
+    bool may_have_run = false;
+};
+
+/// Chooses targets, makes attempts, and gives each caller exactly one outcome.
+class outbound_calls {
+public:
+    outbound_calls(const node_settings& settings, target_chooser& chooser, region_budget& regions,
+                   flow_dependencies& dependencies, inbound_calls& inbound, account& accounts,
+                   random_source& random, node_actions& actions);
+
+    void on_request(const caller_request& event, instant now);
+    void on_caller_gone(exchange_id exchange, instant now);
+    void on_reply(const peer_reply& event, instant now);
+    void on_peer_failed(const peer_failed& event, instant now);
+    void on_policies(std::shared_ptr<const policy_set> policies);
+    void on_owners(std::shared_ptr<const bucket_table> owners);
+    void on_stopping() { stopping_ = true; }
+    void expire(instant now);
+
+    /// The call that the target served has ended: all calls below it are cancelled.
+    void on_parent_ended(inbound_id parent, instant now);
+
+    bool idle() const { return calls_.empty(); }
+    std::size_t open_calls() const { return calls_.size(); }
+    std::uint64_t bytes_held() const { return bytes_held_; }
+    const std::map<service_name, pair_budget>& budgets() const { return budgets_; }
+
+private:
+    std::optional<outcome> refusal_at_entry(const caller_request& event,
+                                            const absl::StatusOr<caller_options>& options);
+    std::optional<outcome> set_up(outbound_call& call, instant now);
+    std::optional<outcome> inherit(outbound_call& call, instant now);
+    void start_root(outbound_call& call, const policy& governing);
+    policy governing_policy(const outbound_call& call, const target_info& any) const;
+    std::optional<outcome> choose_target(outbound_call& call, instant now);
+    std::optional<outcome> choose_owner(outbound_call& call) const;
+    void try_once(outbound_call& call, instant now);
+    bool may_retry(const outbound_call& call, const outcome& result, instant now);
+    void next_step(outbound_call& call, const outcome& result, bool fenced,
+                   const http_answer& answer, instant now);
+    void end(call_id id, const outcome& result, bool fenced, const http_answer& answer);
+    void close_attempt(outbound_call& call);
+    void cancel(outbound_call& call, outcome_reason reason, instant now);
+    void refuse(const caller_request& event, const outcome& result, const service_name& service,
+                priority_class cls);
+    pair_budget& budget_of(const service_name& service);
+    outbound_call* find_attempt(call_id id, int attempt);
+
+    const node_settings& settings_;
+    target_chooser& chooser_;
+    region_budget& regions_;
+    flow_dependencies& dependencies_;
+    inbound_calls& inbound_;
+    account& accounts_;
+    random_source& random_;
+    node_actions& actions_;
+    bool stopping_ = false;
+    std::uint64_t bytes_held_ = 0;
+    std::shared_ptr<const policy_set> policies_;
+    std::shared_ptr<const bucket_table> owners_;
+    std::map<call_id, outbound_call> calls_;
+    std::map<exchange_id, call_id> by_exchange_;
+    std::map<inbound_id, std::set<call_id>> by_parent_;
+    std::set<std::pair<instant, call_id>> deadlines_;
+    std::map<service_name, pair_budget> budgets_;
+};
+
+} // namespace fescuedyke
+
+#endif
--- a/include/fescuedyke/once/ownership.h
+++ b/include/fescuedyke/once/ownership.h
@@ -24,13 +24,11 @@
     incarnation owner_incarnation;
     /// Grows with every change of this bucket's owner; the first owner has 1.
     std::uint64_t epoch = 0;
-
-    friend bool operator==(const bucket_grant& a, const bucket_grant& b)
-    {
-        return a.owner == b.owner && a.owner_incarnation == b.owner_incarnation &&
-               a.epoch == b.epoch;
-    }
-    friend bool operator!=(const bucket_grant& a, const bucket_grant& b) { return !(a == b); }
+    /// Version of the table that made the grant or took it back.
+    std::uint64_t changed_in = 0;
+    /// Whom the bucket was taken from while it has no owner.
+    instance_id former_owner;
+    incarnation former_incarnation;
 };
 
 /// All buckets of one service and home.
@@ -50,6 +48,8 @@
 
 /// What an owner knows of one of its buckets.
 struct bucket_hold {
+    /// Epoch of the grant; a bucket that went away and came back has a later one.
+    std::uint64_t epoch = 0;
     /// No one owned the bucket before, or the former owner handed all its records over.
     bool history_complete = false;
     /// When this instance first saw its grant.
@@ -65,10 +65,11 @@
     /// Takes over \p table as it is seen at \p seen.
     void on_table(const bucket_table& table, wall_time seen);
 
-    /// The lease was renewed: it ends at \p until unless renewed again.
-    void on_lease(instant until);
+    /// The lease was renewed: it ends at \p until unless renewed again. It counts only for a table
+    /// of at least \p table_version, so that a lease never goes with an older table.
+    void on_lease(instant until, std::uint64_t table_version);
 
-    /// Gives up all buckets for good, before a graceful leave.
+    /// Gives up all buckets for good, before a graceful leave; only later grants count again.
     void release_all();
 
     /// The former owner's records of a bucket have all been taken over.
@@ -78,7 +79,6 @@
     std::optional<bucket_hold> may_serve(const service_name& service, const idempotency_key& key,
                                          instant now) const;
 
-    bool released() const { return released_; }
     instant lease_until() const { return lease_until_; }
     std::size_t buckets_held() const { return holds_.size(); }
 
@@ -88,8 +88,10 @@
     instance_id self_;
     incarnation self_incarnation_;
     instant lease_until_;
-    bool released_ = false;
+    std::uint64_t table_version_ = 0;
     std::map<hold_key, bucket_hold> holds_;
+    /// Epochs that were given up, by bucket.
+    std::map<hold_key, std::uint64_t> released_;
 };
 
 } // namespace fescuedyke
--- a/include/fescuedyke/routing/target_chooser.h
+++ b/include/fescuedyke/routing/target_chooser.h
@@ -2,6 +2,7 @@
 #define FESCUEDYKE_ROUTING_TARGET_CHOOSER_H
 
 #include "fescuedyke/call/context.h"
+#include "fescuedyke/routing/flow_levels.h"
 #include "fescuedyke/routing/region_budget.h"
 #include "fescuedyke/routing/target_view.h"
 #include "fescuedyke/support/random.h"
@@ -34,6 +35,7 @@
 /// What is asked of the choice.
 struct route_request {
     service_name service;
+    flow_id flow;
     rank order;
     bool idempotent = false;
     bool cross_region = false;
@@ -62,7 +64,6 @@
     int in_flight = 0;
     int limit = 0;
     rank level = rank::worst();
-    rank chain_level = rank::worst();
     instant level_at;
     millis expected_time;
     int failures = 0;
@@ -95,15 +96,16 @@
     void on_sent(const service_name& service, const instance_id& instance);
 
     /// A reply came from \p instance's node, whatever its outcome.
-    void on_reply(const service_name& service, const instance_id& instance,
+    void on_reply(const service_name& service, flow_id flow, const instance_id& instance,
                   const load_report& load, instant now);
 
     /// An attempt ended without a reply; \p failed tells whether that speaks against the target.
     void on_no_reply(const service_name& service, const instance_id& instance, bool failed,
                      instant now);
 
-    /// Returns the greatest rank that some target of \p service admits along its whole chain.
-    rank chain_level(const service_name& service, instant now) const;
+    /// Returns the greatest rank of \p flow that some target of \p service admits along its whole
+    /// chain.
+    rank chain_level(const service_name& service, flow_id flow, instant now) const;
 
     /// Smallest expected time over the targets of \p service that have told theirs.
     millis expected_time(const service_name& service) const;
@@ -126,7 +128,8 @@
     int distance(const target_info& target) const;
     bool in_subset(const std::vector<target_info>& targets, const target_info& target) const;
     double load_of(const candidate& c, instant now) const;
-    bool admits(const target_stats& stats, rank order, instant now) const;
+    rank level_of(const service_name& service, flow_id flow, const instance_id& instance,
+                  const target_stats& stats, instant now) const;
     bool is_saturated(const candidate& c) const;
     std::vector<candidate> usable(const route_request& request, instant now);
     const candidate& better_of_two(const std::vector<candidate>& from, instant now,
@@ -143,6 +146,7 @@
     region_budget& budget_;
     std::map<service_name, std::vector<target_info>> targets_;
     std::map<service_name, std::map<instance_id, target_stats>> stats_;
+    flow_levels flow_levels_;
     bool seen_a_view_ = false;
 };
 
--- /dev/null
+++ b/include/fescuedyke/storage/posix_file_system.h
@@ -0,0 +1,43 @@
+#ifndef FESCUEDYKE_STORAGE_POSIX_FILE_SYSTEM_H
+#define FESCUEDYKE_STORAGE_POSIX_FILE_SYSTEM_H
+
+#include "fescuedyke/storage/file_system.h"
+
+#include <map>
+#include <memory>
+
+/// \file
+/// The data folder on a real disk.
+
+namespace fescuedyke {
+
+/// Keeps one process at a time in the folder by a lock on it.
+class posix_file_system final : public file_system {
+public:
+    /// Opens \p folder, creating it when missing. Fails with kFailedPrecondition when another
+    /// process has it open.
+    static absl::StatusOr<std::unique_ptr<posix_file_system>> open(const std::string& folder);
+
+    ~posix_file_system() override;
+    posix_file_system(const posix_file_system&) = delete;
+    posix_file_system& operator=(const posix_file_system&) = delete;
+
+    absl::StatusOr<std::string> read(const std::string& name) override;
+    absl::Status append_synced(const std::string& name, const std::string& bytes) override;
+    absl::Status replace_synced(const std::string& name, const std::string& bytes) override;
+    absl::Status truncate_synced(const std::string& name, std::size_t size) override;
+
+private:
+    posix_file_system(std::string folder, int folder_fd);
+
+    absl::StatusOr<int> open_for_append(const std::string& name);
+    void close_append(const std::string& name);
+
+    std::string folder_;
+    int folder_fd_;
+    std::map<std::string, int> append_fds_;
+};
+
+} // namespace fescuedyke
+
+#endif
--- /dev/null
+++ b/lib/membership/view_builder.cpp
@@ -0,0 +1,87 @@
+#include "fescuedyke/membership/view_builder.h"
+
+namespace fescuedyke {
+
+namespace {
+
+target_info make_target(const node_record& record)
+{
+    target_info info;
+    info.instance = record.instance;
+    info.node_incarnation = record.node_incarnation;
+    info.node_address = record.address;
+    info.place = record.place;
+    info.service = record.target->service;
+    info.owner = record.owner;
+    info.labels = record.target->labels;
+    info.slots = record.target->slots;
+    info.state = record.target->state;
+    return info;
+}
+
+} // namespace
+
+bool view_builder::on_delta(const std::string& member, const view_delta& delta)
+{
+    told& t = members_[member];
+    if (delta.from == 0) {
+        changed_ = true;
+        t.nodes.clear();
+    }
+    else if (delta.epoch != t.epoch || delta.from > t.version) {
+        t.version = 0;
+        return false;
+    }
+    t.epoch = delta.epoch;
+    t.version = delta.version;
+    for (const node_status& change : delta.changes) {
+        changed_ = true;
+        t.nodes[change.record.instance] = change;
+    }
+    return true;
+}
+
+void view_builder::drop(const std::string& member)
+{
+    changed_ = members_.erase(member) > 0 || changed_;
+}
+
+std::uint64_t view_builder::known_version(const std::string& member) const
+{
+    const auto found = members_.find(member);
+    return found == members_.end() ? 0 : found->second.version;
+}
+
+std::uint64_t view_builder::known_epoch(const std::string& member) const
+{
+    const auto found = members_.find(member);
+    return found == members_.end() ? 0 : found->second.epoch;
+}
+
+target_view view_builder::build()
+{
+    std::map<instance_id, node_status> merged;
+    for (const auto& [member, t] : members_) {
+        for (const auto& [instance, status] : t.nodes) {
+            const auto found = merged.find(instance);
+            if (found == merged.end() || is_later(status.record, found->second.record)) {
+                merged[instance] = status;
+                continue;
+            }
+            if (!is_later(found->second.record, status.record)) {
+                found->second.live = found->second.live || status.live;
+            }
+        }
+    }
+    target_view view;
+    view.version = ++version_;
+    for (const auto& [instance, status] : merged) {
+        if (status.live && status.record.target) {
+            view.services[status.record.target->service].push_back(make_target(status.record));
+        }
+    }
+    changed_ = false;
+    return view;
+}
+
+} // namespace fescuedyke
--- /dev/null
+++ b/lib/node/inbound_calls.cpp
@@ -0,0 +1,439 @@
+#include "fescuedyke/node/inbound_calls.h"
+
+#include "fescuedyke/node/caller_headers.h"
+
+#include <algorithm>
+#include <cassert>
+
+namespace fescuedyke {
+
+namespace {
+
+/// Share of its slots that a target gets at the start of its warm-up.
+constexpr double least_warm_share = 0.2;
+
+outcome refused(outcome_reason reason)
+{
+    return outcome::not_run(reason);
+}
+
+bool is_fenced(const inbound_call& call, const outcome& result)
+{
+    if (result.kind != outcome_kind::not_run) {
+        return false;
+    }
+    return call.key || call.at == inbound_call::stage::joined ||
+           result.reason == outcome_reason::key_fenced ||
+           result.reason == outcome_reason::key_from_future;
+}
+
+} // namespace
+
+inbound_calls::inbound_calls(const node_settings& settings, ownership& owned, account& accounts,
+                             const target_chooser& chooser, const flow_dependencies& dependencies,
+                             node_actions& actions)
+    : settings_(settings), owned_(owned), accounts_(accounts), chooser_(chooser),
+      dependencies_(dependencies), actions_(actions), registry_(settings.registry),
+      // Tokens of a former incarnation must not be taken for tokens of this one.
+      next_id_((settings.self_incarnation.value() << 24U) + 1)
+{
+}
+
+std::optional<outcome> inbound_calls::refusal_before_admission(const call_context& context,
+                                                               instant now) const
+{
+    if (!admission_ || context.service != service_ || now >= lease_until_) {
+        return refused(outcome_reason::target_unreachable);
+    }
+    if (draining_) {
+        return refused(outcome_reason::draining);
+    }
+    if (!context.idempotent && context.key.empty()) {
+        return refused(outcome_reason::key_missing);
+    }
+    if (context.time_left <= millis(0)) {
+        return refused(outcome_reason::doomed);
+    }
+    return std::nullopt;
+}
+
+void inbound_calls::on_call(const call_context& context, const shared_request& request,
+                            const reply_address& reply_to, moment at)
+{
+    const inbound_id id(next_id_++);
+    inbound_call& call = calls_[id];
+    call.id = id;
+    call.reply_to = reply_to;
+    call.context = context;
+    call.request = request;
+    call.deadline = at.now + context.time_left;
+    call.allowance = retry_allowance(context.allowance);
+    call.row = {account_side::served, settings_.owner, context.service, context.order.cls()};
+    accounts_.on_received(call.row);
+    deadlines_.insert({call.deadline, id});
+    if (const auto* stream = std::get_if<exchange_id>(&reply_to)) {
+        by_stream_[*stream] = id;
+    }
+    if (const auto* attempt = std::get_if<local_attempt>(&reply_to)) {
+        by_attempt_[{attempt->call, attempt->attempt}] = id;
+    }
+    if (const std::optional<outcome> refusal = refusal_before_admission(context, at.now)) {
+        end(id, *refusal, {}, at.now);
+        return;
+    }
+    if (!context.idempotent) {
+        begin_keyed(call, at);
+        return;
+    }
+    admit(call, at.now);
+}
+
+void inbound_calls::begin_keyed(inbound_call& call, moment at)
+{
+    const absl::StatusOr<idempotency_key> key = parse_idempotency_key(call.context.key);
+    if (!key.ok()) {
+        end(call.id, refused(outcome_reason::key_invalid), {}, at.now);
+        return;
+    }
+    const std::optional<bucket_hold> hold = owned_.may_serve(service_, *key, at.now);
+    if (!hold) {
+        end(call.id, refused(outcome_reason::not_owner), {}, at.now);
+        return;
+    }
+    const run_decision decision =
+        registry_.begin(*key, call.context.client_attempt, *hold, at.wall);
+    switch (decision.step) {
+    case run_step::refuse:
+        end(call.id, decision.result, {}, at.now);
+        return;
+    case run_step::replay:
+        end(call.id, outcome::answered(), decision.answer, at.now);
+        return;
+    case run_step::join:
+        call.at = inbound_call::stage::joined;
+        joined_[key->text].push_back(call.id);
+        return;
+    case run_step::run:
+        call.key = *key;
+        runs_by_key_[key->text] = call.id;
+        admit(call, at.now);
+        return;
+    }
+}
+
+void inbound_calls::admit(inbound_call& call, instant now)
+{
+    admission_entry entry;
+    entry.id = call.id;
+    entry.order = call.context.order;
+    entry.idempotent = call.context.idempotent;
+    entry.deadline = call.deadline;
+    entry.bytes = call.request->body_bytes();
+    apply(admission_->offer(entry, now), now);
+}
+
+void inbound_calls::apply(const admission_result& result, instant now)
+{
+    for (const inbound_id id : result.preempted) {
+        actions_.emplace_back(cancel_dispatch{id});
+        end(id, outcome::unknown(outcome_reason::preempted), {}, now);
+    }
+    for (const shed_call& shed : result.shed) {
+        end(shed.id, refused(shed.reason), {}, now);
+    }
+    for (const inbound_id id : result.run) {
+        const auto found = calls_.find(id);
+        assert(found != calls_.end() && "admission runs only calls that are open");
+        dispatch(found->second, now);
+    }
+}
+
+void inbound_calls::dispatch(inbound_call& call, instant now)
+{
+    call.at = inbound_call::stage::running;
+    call.dispatched = now;
+    actions_.emplace_back(dispatch_call{call.id, call.request, call_token(call.id)});
+}
+
+load_report inbound_calls::load(flow_id flow, instant now) const
+{
+    load_report report;
+    if (admission_) {
+        report = admission_->report(now);
+    }
+    for (const service_name& service : dependencies_.services(flow, now)) {
+        report.chain_level =
+            std::min(report.chain_level, chooser_.chain_level(service, flow, now));
+    }
+    return report;
+}
+
+void inbound_calls::reply(const inbound_call& call, const outcome& result,
+                          const http_answer& answer, instant now)
+{
+    if (std::holds_alternative<std::monostate>(call.reply_to)) {
+        return;
+    }
+    call_reply reply;
+    reply.result = result;
+    reply.fenced = is_fenced(call, result);
+    reply.answer = answer;
+    reply.allowance_left = call.allowance.left();
+    reply.load = load(call.context.flow, now);
+    actions_.emplace_back(reply_call{call.reply_to, std::move(reply)});
+}
+
+void inbound_calls::end(inbound_id id, const outcome& result, const http_answer& answer,
+                        instant now)
+{
+    const auto found = calls_.find(id);
+    assert(found != calls_.end() && "a call ends once");
+    const inbound_call call = std::move(found->second);
+    calls_.erase(found);
+    deadlines_.erase({call.deadline, id});
+    if (const auto* stream = std::get_if<exchange_id>(&call.reply_to)) {
+        by_stream_.erase(*stream);
+    }
+    if (const auto* attempt = std::get_if<local_attempt>(&call.reply_to)) {
+        by_attempt_.erase({attempt->call, attempt->attempt});
+    }
+    accounts_.on_ended(call.row, result);
+    reply(call, result, answer, now);
+    ended_.push_back(id);
+    if (!call.key) {
+        return;
+    }
+    runs_by_key_.erase(call.key->text);
+    end_keyed(*call.key, result, answer);
+    if (result.kind == outcome_kind::unknown) {
+        accounts_.on_unknown_key({call.row, call.key->text, result.reason, call.key->created});
+    }
+    end_joined(call.key->text, result, answer, now);
+}
+
+void inbound_calls::end_keyed(const idempotency_key& key, const outcome& result,
+                              const http_answer& answer)
+{
+    switch (result.kind) {
+    case outcome_kind::answered:
+        registry_.on_answered(key, answer);
+        return;
+    case outcome_kind::not_run:
+        registry_.on_not_run(key);
+        return;
+    case outcome_kind::unknown:
+        registry_.on_unknown(key);
+        return;
+    }
+}
+
+void inbound_calls::end_joined(const std::string& key, const outcome& result,
+                               const http_answer& answer, instant now)
+{
+    const auto found = joined_.find(key);
+    if (found == joined_.end()) {
+        return;
+    }
+    const std::vector<inbound_id> waiting = std::move(found->second);
+    joined_.erase(found);
+    for (const inbound_id id : waiting) {
+        end(id, result, answer, now);
+    }
+}
+
+void inbound_calls::abandon(inbound_call& call, outcome_reason reason, instant now)
+{
+    const inbound_id id = call.id;
+    switch (call.at) {
+    case inbound_call::stage::queued:
+        admission_->remove_queued(id);
+        end(id, refused(reason), {}, now);
+        return;
+    case inbound_call::stage::running: {
+        actions_.emplace_back(cancel_dispatch{id});
+        const admission_result next = admission_->finish(id, false, millis(0), now);
+        end(id, outcome::unknown(reason), {}, now);
+        apply(next, now);
+        return;
+    }
+    case inbound_call::stage::joined: {
+        std::vector<inbound_id>& waiting = joined_[call.context.key];
+        waiting.erase(std::remove(waiting.begin(), waiting.end(), id), waiting.end());
+        end(id, outcome::unknown(reason), {}, now);
+        return;
+    }
+    }
+}
+
+void inbound_calls::on_cancelled(const reply_address& reply_to, moment at)
+{
+    inbound_id id;
+    if (const auto* stream = std::get_if<exchange_id>(&reply_to)) {
+        const auto found = by_stream_.find(*stream);
+        id = found == by_stream_.end() ? id : found->second;
+    }
+    if (const auto* attempt = std::get_if<local_attempt>(&reply_to)) {
+        const auto found = by_attempt_.find({attempt->call, attempt->attempt});
+        id = found == by_attempt_.end() ? id : found->second;
+    }
+    const auto found = calls_.find(id);
+    if (found == calls_.end()) {
+        return;
+    }
+    inbound_call& call = found->second;
+    const bool runs_under_key = call.key && call.at == inbound_call::stage::running;
+    const bool others_wait = call.key && joined_.count(call.key->text) != 0;
+    if (!runs_under_key && !others_wait) {
+        abandon(call, outcome_reason::cancelled, at.now);
+        return;
+    }
+    // The run goes on: its answer is kept for a resend, and the account says what truly happened.
+    detach(call);
+}
+
+void inbound_calls::detach(inbound_call& call)
+{
+    if (const auto* stream = std::get_if<exchange_id>(&call.reply_to)) {
+        by_stream_.erase(*stream);
+    }
+    if (const auto* attempt = std::get_if<local_attempt>(&call.reply_to)) {
+        by_attempt_.erase({attempt->call, attempt->attempt});
+    }
+    call.reply_to = std::monostate{};
+}
+
+void inbound_calls::on_answered(const target_answered& event, moment at)
+{
+    const auto found = calls_.find(event.call);
+    if (found == calls_.end() || found->second.at != inbound_call::stage::running) {
+        return;
+    }
+    const std::string* not_run = find_header(event.answer.headers, not_run_header);
+    const bool shed = event.answer.status == 503 && not_run != nullptr && *not_run == "true";
+    const millis took = at.now - found->second.dispatched;
+    const admission_result next = shed ? admission_->finish_shed(event.call, at.now)
+                                       : admission_->finish(event.call, true, took, at.now);
+    if (shed) {
+        end(event.call, refused(outcome_reason::target_shed), {}, at.now);
+    }
+    else {
+        end(event.call, outcome::answered(), event.answer, at.now);
+    }
+    apply(next, at.now);
+}
+
+void inbound_calls::on_failed(const target_failed& event, moment at)
+{
+    const auto found = calls_.find(event.call);
+    if (found == calls_.end() || found->second.at != inbound_call::stage::running) {
+        return;
+    }
+    const admission_result next = admission_->finish(event.call, false, millis(0), at.now);
+    switch (event.failure) {
+    case target_failure::never_sent:
+        end(event.call, refused(outcome_reason::target_unreachable), {}, at.now);
+        break;
+    case target_failure::lost:
+        end(event.call, outcome::unknown(outcome_reason::connection_lost), {}, at.now);
+        break;
+    case target_failure::truncated:
+        end(event.call, outcome::unknown(outcome_reason::truncated), {}, at.now);
+        break;
+    }
+    apply(next, at.now);
+}
+
+void inbound_calls::on_announced(const target_announced& event, moment at)
+{
+    if (!admission_ || service_ != event.service) {
+        admission_settings settings;
+        settings.slots = event.slots;
+        settings.memory_bytes = settings_.memory_bytes;
+        settings.preemption = settings_.preemption;
+        // Calls that were queued for another service have nowhere to go.
+        while (!calls_.empty()) {
+            abandon(calls_.begin()->second, outcome_reason::target_unreachable, at.now);
+        }
+        admission_.emplace(settings);
+        service_ = event.service;
+        target_incarnation_ = event.target_incarnation;
+        announced_at_ = at.now;
+    }
+    if (target_incarnation_ != event.target_incarnation) {
+        target_incarnation_ = event.target_incarnation;
+        announced_at_ = at.now;
+    }
+    warm_up_ = event.warm_up;
+    lease_until_ = at.now + event.lease;
+    admission_->set_slots(event.slots);
+    draining_ = false;
+    warm_up(at.now);
+}
+
+void inbound_calls::on_draining()
+{
+    draining_ = true;
+}
+
+void inbound_calls::on_records(const records_handed_over& event)
+{
+    for (const auto& [key, record] : event.records) {
+        registry_.take_over(key, record);
+    }
+    owned_.on_history_taken_over(event.home, event.bucket);
+}
+
+void inbound_calls::warm_up(instant now)
+{
+    if (!admission_ || warm_up_ <= millis(0)) {
+        return;
+    }
+    const double age = static_cast<double>((now - announced_at_).count());
+    const double share = age / static_cast<double>(warm_up_.count());
+    admission_->set_warm_up_share(std::max(least_warm_share, share));
+}
+
+void inbound_calls::time_out(inbound_call& call, instant now)
+{
+    const bool runs_under_key = call.key && call.at == inbound_call::stage::running;
+    const bool has_caller = !std::holds_alternative<std::monostate>(call.reply_to);
+    if (!runs_under_key || !has_caller) {
+        abandon(call, outcome_reason::timed_out, now);
+        return;
+    }
+    reply(call, outcome::unknown(outcome_reason::timed_out), {}, now);
+    detach(call);
+    deadlines_.erase({call.deadline, call.id});
+    call.deadline = now + settings_.run_grace;
+    deadlines_.insert({call.deadline, call.id});
+}
+
+void inbound_calls::expire(moment at)
+{
+    if (!admission_) {
+        return;
+    }
+    warm_up(at.now);
+    apply(admission_->expire(at.now), at.now);
+    while (!deadlines_.empty() && deadlines_.begin()->first <= at.now) {
+        time_out(calls_.at(deadlines_.begin()->second), at.now);
+    }
+    registry_.forget_old(at.wall);
+}
+
+inbound_call* inbound_calls::serving(inbound_id id)
+{
+    const auto found = calls_.find(id);
+    const bool running =
+        found != calls_.end() && found->second.at == inbound_call::stage::running;
+    return running ? &found->second : nullptr;
+}
+
+std::vector<inbound_id> inbound_calls::take_ended()
+{
+    std::vector<inbound_id> result;
+    result.swap(ended_);
+    return result;
+}
+
+} // namespace fescuedyke
--- /dev/null
+++ b/lib/node/outbound_calls.cpp
@@ -0,0 +1,416 @@
+#include "fescuedyke/node/outbound_calls.h"
+
+#include "fescuedyke/support/hash.h"
+
+#include <algorithm>
+#include <cassert>
+#include <utility>
+
+namespace fescuedyke {
+
+namespace {
+
+/// Retries that one success earns towards its service, and the most that are saved up.
+constexpr double retry_share = 0.1;
+constexpr double most_saved_retries = 10;
+
+constexpr std::uint64_t flow_seed = 0x666c6f77;
+
+outcome refused(outcome_reason reason)
+{
+    return outcome::not_run(reason);
+}
+
+flow_id flow_of(const service_name& service, const std::string& policy_name)
+{
+    return flow_id(stable_hash(policy_name, stable_hash(service.value(), flow_seed)));
+}
+
+label_set request_labels(const outbound_call& call)
+{
+    label_set labels = call.options.labels;
+    labels.emplace("method", call.request->method);
+    labels.emplace("path", call.request->path);
+    return labels;
+}
+
+label_set service_labels(const target_info& target)
+{
+    label_set labels = target.labels;
+    labels.emplace("name", target.service.value());
+    return labels;
+}
+
+} // namespace
+
+outbound_calls::outbound_calls(const node_settings& settings, target_chooser& chooser,
+                               region_budget& regions, flow_dependencies& dependencies,
+                               inbound_calls& inbound, account& accounts, random_source& random,
+                               node_actions& actions)
+    : settings_(settings), chooser_(chooser), regions_(regions), dependencies_(dependencies),
+      inbound_(inbound), accounts_(accounts), random_(random), actions_(actions)
+{
+}
+
+pair_budget& outbound_calls::budget_of(const service_name& service)
+{
+    return budgets_.emplace(service, pair_budget(retry_share, most_saved_retries)).first->second;
+}
+
+std::optional<outcome>
+outbound_calls::refusal_at_entry(const caller_request& event,
+                                 const absl::StatusOr<caller_options>& options)
+{
+    if (!options.ok()) {
+        return refused(outcome_reason::bad_request);
+    }
+    if (!policies_) {
+        return refused(outcome_reason::not_ready);
+    }
+    if (stopping_ && !options->parent) {
+        return refused(outcome_reason::draining);
+    }
+    if (bytes_held_ + event.request->body_bytes() > settings_.memory_bytes) {
+        return refused(outcome_reason::memory_full);
+    }
+    return std::nullopt;
+}
+
+void outbound_calls::refuse(const caller_request& event, const outcome& result,
+                            const service_name& service, priority_class cls)
+{
+    const account_key row{account_side::sent, settings_.owner, service, cls};
+    accounts_.on_received(row);
+    accounts_.on_ended(row, result);
+    actions_.emplace_back(answer_caller{event.exchange, result, {}});
+}
+
+void outbound_calls::on_request(const caller_request& event, instant now)
+{
+    const absl::StatusOr<caller_options> options = read_caller_options(event.request->headers);
+    if (const std::optional<outcome> refusal = refusal_at_entry(event, options)) {
+        refuse(event, *refusal, event.service, priority_class::normal);
+        return;
+    }
+    outbound_call call;
+    call.id = call_id(random_());
+    call.exchange = event.exchange;
+    call.request = event.request;
+    call.options = *options;
+    call.context.call = call.id;
+    call.context.origin = settings_.self;
+    call.context.service = event.service;
+    if (const std::optional<outcome> refusal = set_up(call, now)) {
+        refuse(event, *refusal, event.service, call.context.order.cls());
+        return;
+    }
+    auto stripped = std::make_shared<http_request>(*event.request);
+    stripped->headers = forwarded_headers(event.request->headers);
+    call.request = std::move(stripped);
+    call.row = {account_side::sent, settings_.owner, event.service, call.context.order.cls()};
+    accounts_.on_received(call.row);
+    bytes_held_ += call.request->body_bytes();
+    by_exchange_[call.exchange] = call.id;
+    deadlines_.insert({call.deadline, call.id});
+    if (call.options.parent) {
+        by_parent_[*call.options.parent].insert(call.id);
+    }
+    outbound_call& kept = calls_.emplace(call.id, std::move(call)).first->second;
+    try_once(kept, now);
+}
+
+policy outbound_calls::governing_policy(const outbound_call& call, const target_info& any) const
+{
+    const policy* matched =
+        policies_->match(any.owner, service_labels(any), request_labels(call));
+    return matched != nullptr ? *matched : default_policy(call.request->method);
+}
+
+std::optional<outcome> outbound_calls::set_up(outbound_call& call, instant now)
+{
+    const target_info* any = chooser_.any_of(call.context.service);
+    if (any == nullptr) {
+        return refused(outcome_reason::no_target);
+    }
+    const policy governing = governing_policy(call, *any);
+    call.context.idempotent = governing.idempotent;
+    call.context.order = rank(governing.cls, 0);
+    call.cross_region = governing.cross_region;
+    if (call.request->body_bytes() > governing.max_body) {
+        return refused(outcome_reason::too_large);
+    }
+    if (!governing.idempotent && call.options.key.empty()) {
+        return refused(outcome_reason::key_missing);
+    }
+    if (!governing.idempotent && !parse_idempotency_key(call.options.key).ok()) {
+        return refused(outcome_reason::key_invalid);
+    }
+    call.context.key = governing.idempotent ? "" : call.options.key;
+    call.context.client_attempt = call.options.client_attempt;
+    call.context.labels = call.options.labels;
+    call.deadline = now + std::min(governing.deadline,
+                                   call.options.timeout.value_or(governing.deadline));
+    if (call.options.parent) {
+        return inherit(call, now);
+    }
+    start_root(call, governing);
+    return std::nullopt;
+}
+
+void outbound_calls::start_root(outbound_call& call, const policy& governing)
+{
+    const std::string& key = call.options.key;
+    // A resend under the same key draws the same lot.
+    call.context.root = root_id(key.empty() ? random_() : stable_hash(key));
+    call.context.order = rank(governing.cls, lot_of(call.context.root));
+    call.context.flow = flow_of(call.context.service, governing.name);
+    call.allowance = retry_allowance(governing.retries);
+}
+
+std::optional<outcome> outbound_calls::inherit(outbound_call& call, instant now)
+{
+    inbound_call* parent = inbound_.serving(*call.options.parent);
+    if (parent == nullptr) {
+        return refused(outcome_reason::cancelled);
+    }
+    if (parent->context.depth + 1 > max_depth) {
+        return refused(outcome_reason::bad_request);
+    }
+    call.context.root = parent->context.root;
+    call.context.order = parent->context.order;
+    call.context.flow = parent->context.flow;
+    call.context.depth = parent->context.depth + 1;
+    call.deadline = std::min(call.deadline, parent->deadline);
+    call.lent_by_parent = parent->allowance.lend();
+    call.allowance = retry_allowance(call.lent_by_parent);
+    dependencies_.on_call(call.context.flow, call.context.service, now);
+    return std::nullopt;
+}
+
+std::optional<outcome> outbound_calls::choose_owner(outbound_call& call) const
+{
+    const absl::StatusOr<idempotency_key> key = parse_idempotency_key(call.context.key);
+    assert(key.ok() && "keys are checked at the entry");
+    const bucket_grant* grant =
+        owners_ ? owners_->find(call.context.service, *key) : nullptr;
+    if (grant == nullptr || grant->owner.value().empty()) {
+        return refused(outcome_reason::not_owner);
+    }
+    const target_info* owner = chooser_.find(call.context.service, grant->owner);
+    if (owner == nullptr || owner->state != target_state::ready) {
+        return refused(outcome_reason::not_owner);
+    }
+    call.target = *owner;
+    return std::nullopt;
+}
+
+std::optional<outcome> outbound_calls::choose_target(outbound_call& call, instant now)
+{
+    if (!call.context.idempotent) {
+        return choose_owner(call);
+    }
+    route_request request;
+    request.service = call.context.service;
+    request.flow = call.context.flow;
+    request.order = settings_.refuse_early ? call.context.order : rank::from_value(0);
+    request.idempotent = call.context.idempotent;
+    request.cross_region = call.cross_region;
+    request.bytes = call.request->body_bytes();
+    request.tried = call.tried;
+    const route_choice choice = chooser_.choose(request, now, random_);
+    if (choice.target) {
+        call.target = *choice.target;
+        return std::nullopt;
+    }
+    const bool not_admitted = choice.failure == route_failure::not_admitted;
+    return refused(not_admitted ? outcome_reason::service_overloaded : outcome_reason::no_target);
+}
+
+void outbound_calls::try_once(outbound_call& call, instant now)
+{
+    if (const std::optional<outcome> refusal = choose_target(call, now)) {
+        end(call.id, *refusal, false, {});
+        return;
+    }
+    call.lent = call.allowance.lend();
+    call.attempt_open = true;
+    call.context.time_left = call.deadline - now;
+    call.context.allowance = call.lent;
+    chooser_.on_sent(call.context.service, call.target.instance);
+    if (call.target.place.region != settings_.place.region) {
+        regions_.spend(call.target.place.region, call.request->body_bytes(), now);
+    }
+    actions_.emplace_back(
+        send_call{call.target.instance, call.target.node_address, call.context, call.request});
+}
+
+outbound_call* outbound_calls::find_attempt(call_id id, int attempt)
+{
+    const auto found = calls_.find(id);
+    const bool open = found != calls_.end() && found->second.attempt_open &&
+                      found->second.context.attempt == attempt;
+    return open ? &found->second : nullptr;
+}
+
+void outbound_calls::close_attempt(outbound_call& call)
+{
+    call.attempt_open = false;
+    call.lent = 0;
+    call.tried.insert(call.target.instance);
+}
+
+void outbound_calls::on_reply(const peer_reply& event, instant now)
+{
+    outbound_call* call = find_attempt(event.call, event.attempt);
+    if (call == nullptr) {
+        return;
+    }
+    const call_context& context = call->context;
+    chooser_.on_reply(context.service, context.flow, call->target.instance, event.reply.load, now);
+    if (call->target.place.region != settings_.place.region) {
+        regions_.spend(call->target.place.region, event.reply.answer.body_bytes(), now);
+    }
+    call->allowance.give_back(event.reply.allowance_left, call->lent);
+    close_attempt(*call);
+    if (event.reply.result.kind == outcome_kind::answered) {
+        budget_of(context.service).on_success();
+    }
+    next_step(*call, event.reply.result, event.reply.fenced, event.reply.answer, now);
+}
+
+void outbound_calls::on_peer_failed(const peer_failed& event, instant now)
+{
+    outbound_call* call = find_attempt(event.call, event.attempt);
+    if (call == nullptr) {
+        return;
+    }
+    chooser_.on_no_reply(call->context.service, call->target.instance, true, now);
+    if (event.failure == peer_failure::never_processed) {
+        call->allowance.give_back(call->lent, call->lent);
+        close_attempt(*call);
+        next_step(*call, refused(outcome_reason::peer_unreachable), false, {}, now);
+        return;
+    }
+    close_attempt(*call);
+    next_step(*call, outcome::unknown(outcome_reason::connection_lost), false, {}, now);
+}
+
+bool outbound_calls::may_retry(const outbound_call& call, const outcome& result, instant now)
+{
+    if (!call.context.idempotent || call.allowance.left() == 0) {
+        return false;
+    }
+    const bool elsewhere =
+        result.kind == outcome_kind::unknown || is_local_refusal(result.reason);
+    const millis left = call.deadline - now;
+    if (!elsewhere || left <= chooser_.expected_time(call.context.service)) {
+        return false;
+    }
+    // Before the most important work is refused, every target that its allowance reaches is tried.
+    const bool most_important = call.context.order.cls() == priority_class::critical;
+    const bool exempt = most_important && result.kind == outcome_kind::not_run;
+    return exempt || budget_of(call.context.service).spend();
+}
+
+void outbound_calls::next_step(outbound_call& call, const outcome& result, bool fenced,
+                               const http_answer& answer, instant now)
+{
+    call.may_have_run = call.may_have_run || result.kind == outcome_kind::unknown;
+    if (result.kind == outcome_kind::answered || !may_retry(call, result, now)) {
+        end(call.id, result, fenced, answer);
+        return;
+    }
+    const bool spent = call.allowance.spend();
+    assert(spent && "a retry is made only out of the allowance");
+    (void)spent;
+    ++call.context.attempt;
+    try_once(call, now);
+}
+
+void outbound_calls::end(call_id id, const outcome& result, bool fenced, const http_answer& answer)
+{
+    const auto found = calls_.find(id);
+    assert(found != calls_.end() && "a call ends once");
+    const outbound_call call = std::move(found->second);
+    calls_.erase(found);
+    by_exchange_.erase(call.exchange);
+    deadlines_.erase({call.deadline, id});
+    bytes_held_ -= call.request->body_bytes();
+    if (call.options.parent) {
+        const auto siblings = by_parent_.find(*call.options.parent);
+        siblings->second.erase(id);
+        if (siblings->second.empty()) {
+            by_parent_.erase(siblings);
+        }
+        if (inbound_call* parent = inbound_.serving(*call.options.parent)) {
+            parent->allowance.give_back(call.allowance.left(), call.lent_by_parent);
+        }
+    }
+    outcome told = result;
+    const bool resent = !call.context.key.empty() && call.context.client_attempt > 0;
+    // Only the owner of a key can vouch for the client's earlier tries.
+    const bool unproven = call.may_have_run || (resent && !fenced);
+    if (result.kind == outcome_kind::not_run && unproven) {
+        told = outcome::unknown(result.reason);
+    }
+    accounts_.on_ended(call.row, told);
+    actions_.emplace_back(answer_caller{call.exchange, told, answer});
+}
+
+void outbound_calls::cancel(outbound_call& call, outcome_reason reason, instant now)
+{
+    if (call.attempt_open) {
+        const bool speaks_against = reason == outcome_reason::timed_out;
+        chooser_.on_no_reply(call.context.service, call.target.instance, speaks_against, now);
+        actions_.emplace_back(
+            cancel_call{call.target.instance, call.id, call.context.attempt});
+        call.may_have_run = true;
+    }
+    const outcome result =
+        call.may_have_run ? outcome::unknown(reason) : outcome::not_run(reason);
+    end(call.id, result, false, {});
+}
+
+void outbound_calls::on_caller_gone(exchange_id exchange, instant now)
+{
+    const auto found = by_exchange_.find(exchange);
+    if (found != by_exchange_.end()) {
+        cancel(calls_.at(found->second), outcome_reason::cancelled, now);
+    }
+}
+
+void outbound_calls::on_parent_ended(inbound_id parent, instant now)
+{
+    const auto found = by_parent_.find(parent);
+    if (found == by_parent_.end()) {
+        return;
+    }
+    const std::set<call_id> children = found->second;
+    for (const call_id id : children) {
+        cancel(calls_.at(id), outcome_reason::cancelled, now);
+    }
+}
+
+void outbound_calls::on_policies(std::shared_ptr<const policy_set> policies)
+{
+    // Versions only go upwards, whatever the order in which they arrive.
+    if (!policies_ || policies->version() > policies_->version()) {
+        policies_ = std::move(policies);
+    }
+}
+
+void outbound_calls::on_owners(std::shared_ptr<const bucket_table> owners)
+{
+    if (!owners_ || owners->version > owners_->version) {
+        owners_ = std::move(owners);
+    }
+}
+
+void outbound_calls::expire(instant now)
+{
+    while (!deadlines_.empty() && deadlines_.begin()->first <= now) {
+        cancel(calls_.at(deadlines_.begin()->second), outcome_reason::timed_out, now);
+    }
+}
+
+} // namespace fescuedyke
--- a/lib/once/once.cpp
+++ b/lib/once/once.cpp
@@ -50,6 +50,10 @@
 
 void ownership::on_table(const bucket_table& table, wall_time seen)
 {
+    if (table.version < table_version_) {
+        return;
+    }
+    table_version_ = table.version;
     std::map<hold_key, bucket_hold> holds;
     for (const auto& [home, grants] : table.homes) {
         for (std::uint32_t i = 0; i < buckets_per_home; ++i) {
@@ -58,21 +62,32 @@
                 continue;
             }
             const hold_key key{home, bucket_index(i)};
+            const auto released = released_.find(key);
+            if (released != released_.end() && grant.epoch <= released->second) {
+                continue;
+            }
             const auto known = holds_.find(key);
-            holds[key] = known != holds_.end() ? known->second : bucket_hold{grant.epoch == 1, seen};
+            const bool same = known != holds_.end() && known->second.epoch == grant.epoch;
+            holds[key] = same ? known->second : bucket_hold{grant.epoch, grant.epoch == 1, seen};
         }
     }
     holds_ = std::move(holds);
 }
 
-void ownership::on_lease(instant until)
+void ownership::on_lease(instant until, std::uint64_t table_version)
 {
+    if (table_version > table_version_) {
+        return;
+    }
     lease_until_ = until > lease_until_ ? until : lease_until_;
 }
 
 void ownership::release_all()
 {
-    released_ = true;
+    for (const auto& [key, hold] : holds_) {
+        released_[key] = hold.epoch;
+    }
+    holds_.clear();
 }
 
 void ownership::on_history_taken_over(const bucket_home& home, bucket_index bucket)
@@ -86,7 +101,7 @@
 std::optional<bucket_hold> ownership::may_serve(const service_name& service,
                                                 const idempotency_key& key, instant now) const
 {
-    if (released_ || now >= lease_until_) {
+    if (now >= lease_until_) {
         return std::nullopt;
     }
     const auto found = holds_.find({{service, key.home}, key.bucket});
--- /dev/null
+++ b/lib/routing/flow_levels.cpp
@@ -0,0 +1,74 @@
+#include "fescuedyke/routing/flow_levels.h"
+
+#include "fescuedyke/admission/level.h"
+
+namespace fescuedyke {
+
+namespace {
+
+constexpr millis level_lifetime{2000};
+constexpr millis dependency_lifetime{5000};
+
+} // namespace
+
+void flow_levels::on_reply(const service_name& service, flow_id flow, const instance_id& instance,
+                           rank level, instant now)
+{
+    const key k{service, flow, instance};
+    // A level that admits everything is the same as none.
+    if (level == rank::worst()) {
+        levels_.erase(k);
+        return;
+    }
+    levels_[k] = {level, now};
+}
+
+rank flow_levels::level(const service_name& service, flow_id flow, const instance_id& instance,
+                        instant now) const
+{
+    const auto found = levels_.find({service, flow, instance});
+    if (found == levels_.end()) {
+        return rank::worst();
+    }
+    return relaxed_level(found->second.level, now - found->second.at);
+}
+
+void flow_levels::forget_old(instant now)
+{
+    for (auto it = levels_.begin(); it != levels_.end();) {
+        it = now - it->second.at > level_lifetime ? levels_.erase(it) : std::next(it);
+    }
+}
+
+void flow_dependencies::on_call(flow_id flow, const service_name& service, instant now)
+{
+    used_[flow][service] = now;
+}
+
+std::set<service_name> flow_dependencies::services(flow_id flow, instant now) const
+{
+    std::set<service_name> result;
+    const auto found = used_.find(flow);
+    if (found == used_.end()) {
+        return result;
+    }
+    for (const auto& [service, at] : found->second) {
+        if (now - at <= dependency_lifetime) {
+            result.insert(service);
+        }
+    }
+    return result;
+}
+
+void flow_dependencies::forget_old(instant now)
+{
+    for (auto flow = used_.begin(); flow != used_.end();) {
+        auto& services = flow->second;
+        for (auto it = services.begin(); it != services.end();) {
+            it = now - it->second > dependency_lifetime ? services.erase(it) : std::next(it);
+        }
+        flow = services.empty() ? used_.erase(flow) : std::next(flow);
+    }
+}
+
+} // namespace fescuedyke
--- a/lib/routing/target_chooser.cpp
+++ b/lib/routing/target_chooser.cpp
@@ -49,6 +49,7 @@
         }
     }
     stats_ = std::move(stats);
+    flow_levels_.forget_old(now);
     seen_a_view_ = true;
 }
 
@@ -84,10 +85,12 @@
     return higher < settings_.subset_size;
 }
 
-bool target_chooser::admits(const target_stats& stats, rank order, instant now) const
+rank target_chooser::level_of(const service_name& service, flow_id flow,
+                              const instance_id& instance, const target_stats& stats,
+                              instant now) const
 {
-    const rank level = std::min(stats.level, stats.chain_level);
-    return order <= relaxed_level(level, now - stats.level_at);
+    const rank own = relaxed_level(stats.level, now - stats.level_at);
+    return std::min(own, flow_levels_.level(service, flow, instance, now));
 }
 
 bool target_chooser::is_saturated(const candidate& c) const
@@ -171,7 +174,8 @@
             continue;
         }
         any_healthy = true;
-        if (!admits(*c.stats, request.order, now)) {
+        const instance_id& instance = c.info->instance;
+        if (request.order > level_of(request.service, request.flow, instance, *c.stats, now)) {
             continue;
         }
         if (is_saturated(c)) {
@@ -199,7 +203,8 @@
     }
     return std::any_of(found->second.begin(), found->second.end(), [&](const auto& entry) {
         const target_stats& s = entry.second;
-        return request.tried.count(entry.first) == 0 && !s.ejected && admits(s, request.order, now);
+        const rank level = level_of(request.service, request.flow, entry.first, s, now);
+        return request.tried.count(entry.first) == 0 && !s.ejected && request.order <= level;
     });
 }
 
@@ -240,8 +245,8 @@
     stats.trial_in_flight = false;
 }
 
-void target_chooser::on_reply(const service_name& service, const instance_id& instance,
-                              const load_report& load, instant now)
+void target_chooser::on_reply(const service_name& service, flow_id flow,
+                              const instance_id& instance, const load_report& load, instant now)
 {
     target_stats* stats = stats_of(service, instance);
     if (stats == nullptr) {
@@ -250,9 +255,9 @@
     stats->in_flight = std::max(0, stats->in_flight - 1);
     stats->limit = load.limit > 0 ? load.limit : stats->limit;
     stats->level = load.level;
-    stats->chain_level = load.chain_level;
     stats->level_at = now;
     stats->expected_time = load.expected_time;
+    flow_levels_.on_reply(service, flow, instance, load.chain_level, now);
     recover(*stats);
 }
 
@@ -277,8 +282,9 @@
     const auto& all = stats_[service];
     const auto ejected = std::count_if(all.begin(), all.end(),
                                        [](const auto& entry) { return entry.second.ejected; });
-    const auto allowed = static_cast<std::int64_t>(
-        std::floor(static_cast<double>(all.size()) * settings_.max_ejected_share));
+    const double share = std::floor(static_cast<double>(all.size()) * settings_.max_ejected_share);
+    const std::int64_t least = all.size() > 1 ? 1 : 0;
+    const std::int64_t allowed = std::max(least, static_cast<std::int64_t>(share));
     // When most targets look bad, this node's own view is the suspect.
     if (!stats.ejected && ejected >= allowed) {
         return;
@@ -290,7 +296,7 @@
     ++stats.ejections;
 }
 
-rank target_chooser::chain_level(const service_name& service, instant now) const
+rank target_chooser::chain_level(const service_name& service, flow_id flow, instant now) const
 {
     const auto found = stats_.find(service);
     if (found == stats_.end() || found->second.empty()) {
@@ -298,8 +304,7 @@
     }
     rank best = rank::from_value(0);
     for (const auto& [instance, s] : found->second) {
-        const rank level = std::min(s.level, s.chain_level);
-        best = std::max(best, relaxed_level(level, now - s.level_at));
+        best = std::max(best, level_of(service, flow, instance, s, now));
     }
     return best;
 }
--- /dev/null
+++ b/lib/storage/posix_file_system.cpp
@@ -0,0 +1,182 @@
+#include "fescuedyke/storage/posix_file_system.h"
+
+#include <absl/memory/memory.h>
+
+#include <cerrno>
+#include <cstring>
+#include <fcntl.h>
+#include <filesystem>
+#include <sys/file.h>
+#include <unistd.h>
+#include <utility>
+
+namespace fescuedyke {
+
+namespace {
+
+constexpr mode_t file_mode = 0600;
+constexpr std::size_t read_bytes = 64U << 10U;
+
+absl::Status failure(const std::string& name, const char* doing)
+{
+    const std::string message = name + ": " + doing + ": " + std::strerror(errno);
+    if (errno == ENOENT) {
+        return absl::NotFoundError(message);
+    }
+    if (errno == ENOSPC || errno == EDQUOT) {
+        return absl::ResourceExhaustedError(message);
+    }
+    return absl::DataLossError(message);
+}
+
+absl::Status write_all(int fd, const std::string& name, const std::string& bytes)
+{
+    std::size_t done = 0;
+    while (done < bytes.size()) {
+        const ssize_t written = ::write(fd, bytes.data() + done, bytes.size() - done);
+        if (written < 0 && errno == EINTR) {
+            continue;
+        }
+        if (written < 0) {
+            return failure(name, "write");
+        }
+        done += static_cast<std::size_t>(written);
+    }
+    if (::fdatasync(fd) != 0) {
+        return failure(name, "sync");
+    }
+    return absl::OkStatus();
+}
+
+} // namespace
+
+absl::StatusOr<std::unique_ptr<posix_file_system>>
+posix_file_system::open(const std::string& folder)
+{
+    std::error_code error;
+    std::filesystem::create_directories(folder, error);
+    const int fd = ::open(folder.c_str(), O_RDONLY | O_DIRECTORY | O_CLOEXEC);
+    if (fd < 0) {
+        return failure(folder, "open");
+    }
+    if (::flock(fd, LOCK_EX | LOCK_NB) != 0) {
+        ::close(fd);
+        return absl::FailedPreconditionError(folder + ": another process has this data folder");
+    }
+    return absl::WrapUnique(new posix_file_system(folder, fd));
+}
+
+posix_file_system::posix_file_system(std::string folder, int folder_fd)
+    : folder_(std::move(folder)), folder_fd_(folder_fd)
+{
+}
+
+posix_file_system::~posix_file_system()
+{
+    for (const auto& [name, fd] : append_fds_) {
+        ::close(fd);
+    }
+    ::close(folder_fd_);
+}
+
+absl::StatusOr<std::string> posix_file_system::read(const std::string& name)
+{
+    const int fd = ::openat(folder_fd_, name.c_str(), O_RDONLY | O_CLOEXEC);
+    if (fd < 0) {
+        return failure(name, "open");
+    }
+    std::string content;
+    std::string buffer(read_bytes, '\0');
+    for (;;) {
+        const ssize_t got = ::read(fd, buffer.data(), buffer.size());
+        if (got < 0 && errno == EINTR) {
+            continue;
+        }
+        if (got < 0) {
+            const absl::Status status = failure(name, "read");
+            ::close(fd);
+            return status;
+        }
+        if (got == 0) {
+            break;
+        }
+        content.append(buffer, 0, static_cast<std::size_t>(got));
+    }
+    ::close(fd);
+    return content;
+}
+
+absl::StatusOr<int> posix_file_system::open_for_append(const std::string& name)
+{
+    const auto known = append_fds_.find(name);
+    if (known != append_fds_.end()) {
+        return known->second;
+    }
+    const int flags = O_WRONLY | O_CREAT | O_APPEND | O_CLOEXEC;
+    const int fd = ::openat(folder_fd_, name.c_str(), flags, file_mode);
+    if (fd < 0) {
+        return failure(name, "open");
+    }
+    if (::fsync(folder_fd_) != 0) {
+        ::close(fd);
+        return failure(folder_, "sync");
+    }
+    append_fds_[name] = fd;
+    return fd;
+}
+
+void posix_file_system::close_append(const std::string& name)
+{
+    const auto known = append_fds_.find(name);
+    if (known != append_fds_.end()) {
+        ::close(known->second);
+        append_fds_.erase(known);
+    }
+}
+
+absl::Status posix_file_system::append_synced(const std::string& name, const std::string& bytes)
+{
+    const absl::StatusOr<int> fd = open_for_append(name);
+    if (!fd.ok()) {
+        return fd.status();
+    }
+    return write_all(*fd, name, bytes);
+}
+
+absl::Status posix_file_system::replace_synced(const std::string& name, const std::string& bytes)
+{
+    close_append(name);
+    const std::string fresh = name + ".new";
+    const int flags = O_WRONLY | O_CREAT | O_TRUNC | O_CLOEXEC;
+    const int fd = ::openat(folder_fd_, fresh.c_str(), flags, file_mode);
+    if (fd < 0) {
+        return failure(fresh, "open");
+    }
+    const absl::Status written = write_all(fd, fresh, bytes);
+    ::close(fd);
+    if (!written.ok()) {
+        return written;
+    }
+    if (::renameat(folder_fd_, fresh.c_str(), folder_fd_, name.c_str()) != 0) {
+        return failure(name, "rename");
+    }
+    if (::fsync(folder_fd_) != 0) {
+        return failure(folder_, "sync");
+    }
+    return absl::OkStatus();
+}
+
+absl::Status posix_file_system::truncate_synced(const std::string& name, std::size_t size)
+{
+    close_append(name);
+    const int fd = ::openat(folder_fd_, name.c_str(), O_WRONLY | O_CLOEXEC);
+    if (fd < 0) {
+        return failure(name, "open");
+    }
+    const bool done = ::ftruncate(fd, static_cast<off_t>(size)) == 0 && ::fsync(fd) == 0;
+    const absl::Status status = done ? absl::OkStatus() : failure(name, "truncate");
+    ::close(fd);
+    return status;
+}
+
+} // namespace fescuedyke
