--- a/include/fescuedyke/consensus/raft_core.h
+++ b/include/fescuedyke/consensus/raft_core.h
@@ -47,7 +47,7 @@
 /// What is to be done after a step, in this order: persist, confirm by on_persisted(), send, apply.
 struct raft_output {
     std::optional<hard_state> hard;
-    /// A received snapshot that replaces the whole log.
+    /// A received snapshot that replaces the whole log; the hard state always comes with it.
     std::optional<snapshot> install;
     /// Entries from here on are dropped before the new ones are written.
     std::optional<log_index> truncate_from;
@@ -102,6 +102,7 @@
     log_term term() const { return hard_.term; }
     log_index commit_index() const { return commit_; }
     const replicated_log& log() const { return log_; }
+    const hard_state& hard() const { return hard_; }
     const member_id& self() const { return self_; }
     const std::optional<member_id>& leader() const { return leader_; }
     bool is_member() const;
--- a/lib/consensus/raft_core.cpp
+++ b/lib/consensus/raft_core.cpp
@@ -546,6 +546,7 @@
     output_.truncate_from.reset();
     output_.committed.clear();
     output_.install = received;
+    output_.hard = hard_;
     send(from, append_reply{hard_.term, true, m.index, 0});
 }
 
--- /dev/null
+++ b/lib/control/control_core.cpp
@@ -0,0 +1,391 @@
+#include "fescuedyke/control/control_core.h"
+
+#include <algorithm>
+#include <cassert>
+#include <utility>
+
+namespace fescuedyke {
+
+control_core::control_core(const control_settings& settings, const member_entry& self,
+                           const member_list& initial_members, const stored_member& found,
+                           std::uint64_t epoch, member_store& store, account_book& accounts,
+                           random_source& random)
+    : settings_(settings), self_(self), store_(store), accounts_(accounts),
+      raft_(settings.raft, self, initial_members, found.state, random),
+      leases_(settings.membership, epoch), planner_(settings.ownership)
+{
+    if (found.state.base.index > log_index(0)) {
+        restore(found.state.base);
+    }
+}
+
+control_actions control_core::handle(const control_event& event, moment at)
+{
+    now_ = at.now;
+    std::visit([&](const auto& e) { on(e, at); }, event);
+    run_raft(at.now);
+    return std::exchange(actions_, {});
+}
+
+void control_core::run_raft(instant now)
+{
+    while (disk_.ok()) {
+        raft_output output = raft_.take_output();
+        const bool persists = output.must_persist();
+        if (persists) {
+            disk_ = store_.persist(output);
+            if (!disk_.ok()) {
+                fail_pending(change_outcome::unknown);
+                return;
+            }
+            raft_.on_persisted();
+        }
+        if (output.install) {
+            restore(*output.install);
+        }
+        for (outgoing_message& m : output.messages) {
+            actions_.emplace_back(send_consensus{m.address, std::move(m.message)});
+        }
+        for (const log_entry& entry : output.committed) {
+            apply(entry, now);
+        }
+        note_leadership(now);
+        if (!persists && output.committed.empty()) {
+            break;
+        }
+    }
+}
+
+void control_core::restore(const snapshot& base)
+{
+    absl::StatusOr<control_state> state = control_state::decode_snapshot(base.data);
+    if (!state.ok()) {
+        disk_ = state.status();
+        return;
+    }
+    state_ = std::move(*state);
+    applied_ = base.index;
+}
+
+void control_core::apply(const log_entry& entry, instant now)
+{
+    (void)now;
+    assert(entry.index.value() == applied_.value() + 1 && "entries are applied in order");
+    applied_ = entry.index;
+    if (pending_owner_change_ && applied_ >= *pending_owner_change_) {
+        pending_owner_change_.reset();
+    }
+    if (entry.kind != entry_kind::command) {
+        return;
+    }
+    const absl::StatusOr<control_command> command = decode_command(entry.data);
+    if (!command.ok()) {
+        disk_ = absl::DataLossError("log: a committed command cannot be read");
+        return;
+    }
+    if (const auto* owners = std::get_if<owner_change>(&*command)) {
+        state_.apply(*owners);
+    }
+    if (const auto* change = std::get_if<policy_change>(&*command)) {
+        const change_result result = state_.apply(*change);
+        const auto waiting = pending_.find(change->change_id);
+        if (waiting != pending_.end()) {
+            for (const pending_change& p : waiting->second) {
+                actions_.emplace_back(
+                    answer_change{p.request, change_outcome::decided, result, {}});
+            }
+            pending_.erase(waiting);
+        }
+    }
+    if (applied_.value() - raft_.log().base().index.value() >= settings_.snapshot_every) {
+        take_snapshot();
+    }
+}
+
+void control_core::take_snapshot()
+{
+    const snapshot s = raft_.make_snapshot(applied_, state_.encode_snapshot());
+    const std::uint64_t held = raft_.log().last_index().value() - applied_.value();
+    const std::vector<log_entry> rest =
+        raft_.log().slice(log_index(applied_.value() + 1), held);
+    disk_ = store_.persist_snapshot(s, raft_.hard(), rest);
+    if (disk_.ok()) {
+        raft_.on_snapshot_persisted(s);
+    }
+}
+
+void control_core::note_leadership(instant now)
+{
+    const bool leads = raft_.is_leader();
+    if (leads == led_) {
+        return;
+    }
+    led_ = leads;
+    pending_owner_change_.reset();
+    if (leads) {
+        own_first_entry_ = raft_.log().last_index();
+        planner_.on_elected(now);
+        return;
+    }
+    fail_pending(change_outcome::unknown);
+}
+
+void control_core::fail_pending(change_outcome outcome)
+{
+    for (const auto& [id, waiting] : pending_) {
+        for (const pending_change& p : waiting) {
+            actions_.emplace_back(answer_change{p.request, outcome, {}, leader_api()});
+        }
+    }
+    pending_.clear();
+}
+
+std::optional<endpoint> control_core::leader_api() const
+{
+    if (!raft_.leader()) {
+        return std::nullopt;
+    }
+    for (const member_entry& m : raft_.log().members()) {
+        if (m.id == *raft_.leader()) {
+            return m.api_address;
+        }
+    }
+    return std::nullopt;
+}
+
+void control_core::on(const consensus_received& event, moment at)
+{
+    if (disk_.ok()) {
+        raft_.receive(event.message, at.now);
+    }
+}
+
+bool control_core::grants_leases(instant now) const
+{
+    // All that former leaders decided must be applied before a lease goes out, and no bucket may
+    // be on its way to another owner.
+    return raft_.leads_for_certain(now) && applied_ >= own_first_entry_ &&
+           !pending_owner_change_ && disk_.ok();
+}
+
+owner_delta control_core::owners_since(std::uint64_t known) const
+{
+    owner_delta delta;
+    if (known >= state_.owners().version) {
+        return delta;
+    }
+    for (const auto& [home, grants] : state_.owners().homes) {
+        for (std::uint32_t i = 0; i < buckets_per_home; ++i) {
+            if (grants[i].changed_in > known) {
+                delta[home][i] = grants[i];
+            }
+        }
+    }
+    return delta;
+}
+
+poll_reply control_core::make_poll_reply(const node_poll& poll, instant now)
+{
+    poll_reply reply;
+    reply.member = self_.id.name;
+    reply.members = raft_.log().members();
+    reply.leader = raft_.leader() ? raft_.leader()->name : "";
+    reply.beacon_age = beacon_age(now);
+    reply.version = state_.version();
+    reply.policies = state_.changed_since(poll.policies);
+    reply.owners_version = state_.owners().version;
+    reply.owners = owners_since(poll.owners_version);
+    reply.view = leases_.view_since(poll.view_epoch, poll.view_version);
+    const bool ready =
+        poll.record.target && poll.record.target->state == target_state::ready;
+    if (poll.wants_lease && ready && grants_leases(now)) {
+        reply.lease = planner_.grant(poll.record.instance, poll.record.node_incarnation,
+                                     poll.owners_version, now);
+    }
+    return reply;
+}
+
+void control_core::on(const poll_received& event, moment at)
+{
+    leases_.on_report(event.poll.record, at.now);
+    in_force_[event.poll.record.instance] = event.poll.policies;
+    actions_.emplace_back(answer_poll{event.request, make_poll_reply(event.poll, at.now)});
+}
+
+std::map<region_name, region_progress> control_core::own_progress() const
+{
+    std::map<region_name, region_progress> regions;
+    for (const auto& [instance, version] : in_force_) {
+        if (!leases_.holds(instance)) {
+            continue;
+        }
+        const auto node = leases_.nodes().find(instance);
+        if (node == leases_.nodes().end()) {
+            continue;
+        }
+        region_progress& p = regions[node->second.record.place.region];
+        p.lowest = p.nodes == 0 ? version : std::min(p.lowest, version);
+        ++p.nodes;
+        p.behind += version < state_.version() ? 1 : 0;
+    }
+    return regions;
+}
+
+std::map<region_name, region_progress> control_core::progress() const
+{
+    std::map<region_name, region_progress> all = own_progress();
+    for (const auto& [member, told] : told_progress_) {
+        if (now_ - told.at > settings_.membership.member_lease) {
+            continue;
+        }
+        for (const auto& [region, p] : told.regions) {
+            region_progress& sum = all[region];
+            sum.lowest = sum.nodes == 0 ? p.lowest : std::min(sum.lowest, p.lowest);
+            sum.nodes += p.nodes;
+            sum.behind += p.behind;
+        }
+    }
+    return all;
+}
+
+member_sync control_core::make_sync(const std::string& to) const
+{
+    member_sync sync;
+    sync.member = self_.id.name;
+    if (const auto known = known_.find(to); known != known_.end()) {
+        sync.known_epoch = known->second.epoch;
+        sync.known_version = known->second.version;
+    }
+    const auto told = acknowledged_.find(to);
+    const acknowledged from = told == acknowledged_.end() ? acknowledged{} : told->second;
+    sync.delta = leases_.held_since(from.epoch, from.version);
+    sync.progress = own_progress();
+    return sync;
+}
+
+void control_core::take_over_sync(const member_sync& sync, instant now)
+{
+    acknowledged_[sync.member] = {sync.known_epoch, sync.known_version};
+    const std::uint64_t version = leases_.on_member_delta(sync.member, sync.delta, now);
+    known_[sync.member] = {sync.delta.epoch, version};
+    told_progress_[sync.member] = {sync.progress, now};
+}
+
+void control_core::on(const member_sync_received& event, moment at)
+{
+    take_over_sync(event.sync, at.now);
+    actions_.emplace_back(answer_member_sync{event.request, make_sync(event.sync.member)});
+}
+
+void control_core::on(const member_sync_answered& event, moment at)
+{
+    take_over_sync(event.sync, at.now);
+}
+
+void control_core::on(const account_report_received& event, moment at)
+{
+    (void)at;
+    accounts_.on_report(event.report);
+}
+
+void control_core::on(const change_requested& event, moment at)
+{
+    if (!raft_.is_leader() || !disk_.ok() || stopping_) {
+        actions_.emplace_back(
+            answer_change{event.request, change_outcome::not_leader, {}, leader_api()});
+        return;
+    }
+    // Resends of a change that is decided or on its way get the one result. What was decided under
+    // former leaders is known for certain once this leader's first entry is applied.
+    const change_result* known = state_.find_result(event.change.change_id);
+    if (known != nullptr) {
+        actions_.emplace_back(
+            answer_change{event.request, change_outcome::decided, *known, {}});
+        return;
+    }
+    const bool on_its_way = pending_.count(event.change.change_id) != 0;
+    pending_[event.change.change_id].push_back({event.request, at.now});
+    if (on_its_way) {
+        return;
+    }
+    const absl::StatusOr<log_index> proposed =
+        raft_.propose(encode_command(event.change), at.now);
+    assert(proposed.ok() && "a leader takes proposals");
+    (void)proposed;
+}
+
+void control_core::plan_owners(instant now)
+{
+    if (!grants_leases(now)) {
+        return;
+    }
+    const std::optional<owner_change> change =
+        planner_.plan(state_.owners(), leases_.live_nodes(), now);
+    if (!change) {
+        return;
+    }
+    const absl::StatusOr<log_index> proposed = raft_.propose(encode_command(*change), now);
+    if (proposed.ok()) {
+        pending_owner_change_ = *proposed;
+    }
+}
+
+void control_core::tell_members(instant now)
+{
+    if (now - last_sync_ < settings_.member_sync_period) {
+        return;
+    }
+    last_sync_ = now;
+    for (const member_entry& m : raft_.log().members()) {
+        if (m.id.name != self_.id.name) {
+            actions_.emplace_back(send_member_sync{m.address, make_sync(m.id.name)});
+        }
+    }
+}
+
+void control_core::time_out_changes(instant now)
+{
+    for (auto it = pending_.begin(); it != pending_.end();) {
+        std::vector<pending_change>& waiting = it->second;
+        const auto late = std::stable_partition(
+            waiting.begin(), waiting.end(),
+            [&](const pending_change& p) { return now - p.since < settings_.change_timeout; });
+        for (auto p = late; p != waiting.end(); ++p) {
+            actions_.emplace_back(
+                answer_change{p->request, change_outcome::unknown, {}, leader_api()});
+        }
+        waiting.erase(late, waiting.end());
+        it = waiting.empty() ? pending_.erase(it) : std::next(it);
+    }
+}
+
+void control_core::on(const control_tick& event, moment at)
+{
+    (void)event;
+    leases_.expire(at.now);
+    time_out_changes(at.now);
+    tell_members(at.now);
+    if (at.now - last_flush_ >= settings_.account_flush_period && disk_.ok()) {
+        last_flush_ = at.now;
+        disk_ = accounts_.flush();
+    }
+    if (!disk_.ok()) {
+        return;
+    }
+    raft_.tick(at.now);
+    if (!stopping_) {
+        plan_owners(at.now);
+    }
+}
+
+void control_core::on(const control_stopping& event, moment at)
+{
+    (void)event;
+    stopping_ = true;
+    if (disk_.ok()) {
+        disk_ = accounts_.flush();
+        raft_.hand_over(at.now);
+    }
+}
+
+} // namespace fescuedyke
--- /dev/null
+++ b/lib/control/control_state.cpp
@@ -0,0 +1,148 @@
+#include "fescuedyke/control/control_state.h"
+
+#include "fescuedyke/control/control_fields.h"
+
+#include <algorithm>
+#include <cassert>
+
+namespace fescuedyke {
+
+namespace {
+
+/// Results of changes kept for resends; at the target's 630 changes a day about a month.
+constexpr std::size_t most_results = 20'000;
+
+struct state_snapshot {
+    config_version version;
+    std::map<std::string, policy_record> policies;
+    bucket_table owners;
+    std::map<std::string, change_result> results;
+    std::vector<std::string> result_order;
+};
+
+template <class A> void fields(A& a, state_snapshot& x)
+{
+    a(x.version, x.policies, x.owners, x.results, x.result_order);
+}
+
+} // namespace
+
+std::string policy_key(const owner_name& owner, const std::string& name)
+{
+    return owner.value() + "/" + name;
+}
+
+const change_result* control_state::find_result(const std::string& change_id) const
+{
+    const auto found = results_.find(change_id);
+    return found == results_.end() ? nullptr : &found->second;
+}
+
+change_result control_state::apply(const policy_change& change)
+{
+    if (const change_result* known = find_result(change.change_id)) {
+        return *known;
+    }
+    const std::string key = policy_key(change.owner, change.name);
+    const auto found = policies_.find(key);
+    const bool present = found != policies_.end();
+    const std::uint64_t held = present && !found->second.removed ? found->second.version : 0;
+    change_result result;
+    if (held != change.based_on || (change.remove && held == 0)) {
+        result = {change_code::conflict, held, version_};
+    }
+    else {
+        version_ = config_version(version_.value() + 1);
+        policy_record& record = policies_[key];
+        record.owner = change.owner;
+        record.name = change.name;
+        record.yaml = change.remove ? "" : change.yaml;
+        record.removed = change.remove;
+        record.is_private = change.is_private;
+        record.changed_in = version_;
+        ++record.version;
+        result = {change_code::accepted, change.remove ? 0 : record.version, version_};
+    }
+    results_[change.change_id] = result;
+    result_order_.push_back(change.change_id);
+    if (result_order_.size() > most_results) {
+        results_.erase(result_order_.front());
+        result_order_.pop_front();
+    }
+    return result;
+}
+
+void control_state::apply(const owner_change& change)
+{
+    ++owners_.version;
+    bucket_grants& grants = owners_.homes[change.home];
+    for (const owner_change::grant& g : change.grants) {
+        assert(g.bucket < buckets_per_home && "decoders check the bucket");
+        bucket_grant& held = grants[g.bucket];
+        if (!held.owner.value().empty()) {
+            held.former_owner = held.owner;
+            held.former_incarnation = held.owner_incarnation;
+        }
+        held.owner = g.owner;
+        held.owner_incarnation = g.owner_incarnation;
+        held.epoch += g.owner.value().empty() ? 0 : 1;
+        held.changed_in = owners_.version;
+    }
+}
+
+std::vector<policy_record> control_state::changed_since(config_version known) const
+{
+    std::vector<policy_record> result;
+    for (const auto& [key, record] : policies_) {
+        if (record.changed_in > known) {
+            result.push_back(record);
+        }
+    }
+    return result;
+}
+
+std::string control_state::encode_snapshot() const
+{
+    state_snapshot s{version_, policies_, owners_, results_, {}};
+    s.result_order.assign(result_order_.begin(), result_order_.end());
+    return encode(s);
+}
+
+absl::StatusOr<control_state> control_state::decode_snapshot(const std::string& bytes)
+{
+    absl::StatusOr<state_snapshot> s = decode<state_snapshot>(bytes, "snapshot");
+    if (!s.ok()) {
+        return absl::DataLossError(s.status().message());
+    }
+    control_state state;
+    state.version_ = s->version;
+    state.policies_ = std::move(s->policies);
+    state.owners_ = std::move(s->owners);
+    state.results_ = std::move(s->results);
+    state.result_order_.assign(s->result_order.begin(), s->result_order.end());
+    return state;
+}
+
+std::string encode_command(const control_command& command)
+{
+    return encode(command);
+}
+
+absl::StatusOr<control_command> decode_command(const std::string& bytes)
+{
+    absl::StatusOr<control_command> command = decode<control_command>(bytes, "command");
+    if (!command.ok()) {
+        return command;
+    }
+    if (const auto* owners = std::get_if<owner_change>(&*command)) {
+        const bool in_range =
+            std::all_of(owners->grants.begin(), owners->grants.end(),
+                        [](const auto& g) { return g.bucket < buckets_per_home; });
+        if (!in_range) {
+            return absl::InvalidArgumentError("command: bucket out of range");
+        }
+    }
+    return command;
+}
+
+} // namespace fescuedyke
--- /dev/null
+++ b/lib/control/member_store.cpp
@@ -0,0 +1,224 @@
+#include "fescuedyke/control/member_store.h"
+
+#include "fescuedyke/codec/common_fields.h"
+#include "fescuedyke/storage/frame_file.h"
+
+#include <cassert>
+#include <optional>
+
+namespace fescuedyke {
+
+namespace {
+
+constexpr const char* identity_file = "identity";
+constexpr const char* snapshot_file = "snapshot";
+constexpr const char* log_file = "log";
+
+/// One synced step of the log.
+struct log_record {
+    /// On the first record: the snapshot that the log follows.
+    std::optional<log_index> base_index;
+    log_term base_term;
+    std::optional<hard_state> hard;
+    std::optional<log_index> truncate_from;
+    std::vector<log_entry> append;
+};
+
+template <class A> void fields(A& a, log_record& x)
+{
+    a(x.base_index, x.base_term, x.hard, x.truncate_from, x.append);
+}
+
+absl::Status damaged(const std::string& what)
+{
+    return absl::DataLossError(what);
+}
+
+/// Drops the entries that \p base stands for, and all of a log that does not go with it.
+void fit_to_base(const snapshot& base, log_index log_base, std::vector<log_entry>& entries)
+{
+    if (log_base == base.index) {
+        return;
+    }
+    const std::uint64_t covered = base.index.value() - log_base.value();
+    const bool reaches = entries.size() >= covered;
+    const bool agrees = reaches && entries[covered - 1].term == base.term;
+    if (!agrees) {
+        entries.clear();
+        return;
+    }
+    entries.erase(entries.begin(), entries.begin() + static_cast<std::ptrdiff_t>(covered));
+}
+
+} // namespace
+
+member_store::member_store(file_system& files) : files_(files) {}
+
+absl::StatusOr<member_id> member_store::open_identity(const std::string& name,
+                                                      std::uint64_t fresh_disk)
+{
+    const absl::StatusOr<std::string> bytes = files_.read(identity_file);
+    if (absl::IsNotFound(bytes.status())) {
+        if (files_.read(log_file).ok() || files_.read(snapshot_file).ok()) {
+            return damaged("identity: is missing beside a log");
+        }
+        const member_id id{name, fresh_disk};
+        const absl::Status written =
+            files_.replace_synced(identity_file, make_frame(encode(id)));
+        if (!written.ok()) {
+            return written;
+        }
+        return id;
+    }
+    if (!bytes.ok()) {
+        return bytes.status();
+    }
+    const absl::StatusOr<frame_file_content> content = read_frames(identity_file, *bytes);
+    if (!content.ok() || content->payloads.size() != 1) {
+        return damaged("identity: damaged");
+    }
+    absl::StatusOr<member_id> id = decode<member_id>(content->payloads[0], identity_file);
+    if (!id.ok()) {
+        return damaged("identity: damaged");
+    }
+    if (id->name != name) {
+        return absl::FailedPreconditionError("identity: this data folder belongs to " + id->name);
+    }
+    return id;
+}
+
+absl::Status member_store::open_snapshot(stored_member& member)
+{
+    const absl::StatusOr<std::string> bytes = files_.read(snapshot_file);
+    if (absl::IsNotFound(bytes.status())) {
+        return absl::OkStatus();
+    }
+    if (!bytes.ok()) {
+        return bytes.status();
+    }
+    const absl::StatusOr<frame_file_content> content = read_frames(snapshot_file, *bytes);
+    if (!content.ok() || content->payloads.size() != 1) {
+        return damaged("snapshot: damaged");
+    }
+    absl::StatusOr<snapshot> base = decode<snapshot>(content->payloads[0], snapshot_file);
+    if (!base.ok()) {
+        return damaged("snapshot: damaged");
+    }
+    member.state.base = std::move(*base);
+    member.bytes_read += bytes->size();
+    return absl::OkStatus();
+}
+
+absl::Status member_store::open_log(stored_member& member)
+{
+    const absl::StatusOr<std::string> bytes = files_.read(log_file);
+    if (absl::IsNotFound(bytes.status())) {
+        if (member.state.base.index != log_index(0)) {
+            return damaged("log: is missing beside a snapshot");
+        }
+        return absl::OkStatus();
+    }
+    if (!bytes.ok()) {
+        return bytes.status();
+    }
+    const absl::StatusOr<frame_file_content> content = read_frames(log_file, *bytes);
+    if (!content.ok()) {
+        return content.status();
+    }
+    member.bytes_read += bytes->size();
+    member.frames_read = content->payloads.size();
+    log_index base;
+    std::vector<log_entry>& entries = member.state.entries;
+    for (const std::string& payload : content->payloads) {
+        absl::StatusOr<log_record> record = decode<log_record>(payload, log_file);
+        if (!record.ok()) {
+            return damaged("log: damaged");
+        }
+        base = record->base_index.value_or(base);
+        member.state.hard = record->hard.value_or(member.state.hard);
+        while (record->truncate_from && !entries.empty() &&
+               entries.back().index >= *record->truncate_from) {
+            entries.pop_back();
+        }
+        for (log_entry& entry : record->append) {
+            if (entry.index.value() != base.value() + entries.size() + 1) {
+                return damaged("log: entries are out of order");
+            }
+            entries.push_back(std::move(entry));
+        }
+    }
+    if (base > member.state.base.index) {
+        return damaged("snapshot: is missing before the log");
+    }
+    fit_to_base(member.state.base, base, entries);
+    log_bytes_ = content->whole_bytes;
+    if (content->whole_bytes < bytes->size()) {
+        return files_.truncate_synced(log_file, content->whole_bytes);
+    }
+    return absl::OkStatus();
+}
+
+absl::StatusOr<stored_member> member_store::open(const std::string& name,
+                                                 std::uint64_t fresh_disk)
+{
+    stored_member member;
+    const absl::StatusOr<member_id> id = open_identity(name, fresh_disk);
+    if (!id.ok()) {
+        return id.status();
+    }
+    member.id = *id;
+    if (absl::Status read = open_snapshot(member); !read.ok()) {
+        return read;
+    }
+    if (absl::Status read = open_log(member); !read.ok()) {
+        return read;
+    }
+    return member;
+}
+
+absl::Status member_store::persist(const raft_output& output)
+{
+    if (output.install) {
+        assert(output.hard && "the hard state comes with an installed snapshot");
+        // Until the log is replaced, the old one must tell the term and the vote as well.
+        raft_output before;
+        before.hard = output.hard;
+        if (absl::Status s = persist(before); !s.ok()) {
+            return s;
+        }
+        return persist_snapshot(*output.install, *output.hard, output.append);
+    }
+    log_record record;
+    record.hard = output.hard;
+    record.truncate_from = output.truncate_from;
+    record.append = output.append;
+    const std::string frame = make_frame(encode(record));
+    log_bytes_ += frame.size();
+    return files_.append_synced(log_file, frame);
+}
+
+absl::Status member_store::replace_log(const snapshot& base, const hard_state& hard,
+                                       const std::vector<log_entry>& entries)
+{
+    log_record record;
+    record.base_index = base.index;
+    record.base_term = base.term;
+    record.hard = hard;
+    record.append = entries;
+    const std::string frame = make_frame(encode(record));
+    log_bytes_ = frame.size();
+    return files_.replace_synced(log_file, frame);
+}
+
+absl::Status member_store::persist_snapshot(const snapshot& s, const hard_state& hard,
+                                            const std::vector<log_entry>& entries)
+{
+    const absl::Status written =
+        files_.replace_synced(snapshot_file, make_frame(encode(s)));
+    if (!written.ok()) {
+        return written;
+    }
+    return replace_log(s, hard, entries);
+}
+
+} // namespace fescuedyke
--- /dev/null
+++ b/lib/control/ownership_planner.cpp
@@ -0,0 +1,154 @@
+#include "fescuedyke/control/ownership_planner.h"
+
+#include <algorithm>
+#include <set>
+
+namespace fescuedyke {
+
+ownership_planner::ownership_planner(const ownership_settings& settings) : settings_(settings) {}
+
+void ownership_planner::on_elected(instant now)
+{
+    leases_.clear();
+    unknown_until_ = now + settings_.lease + settings_.margin;
+}
+
+millis ownership_planner::grant(const instance_id& instance, incarnation node_incarnation,
+                                std::uint64_t table_version, instant now)
+{
+    held_lease& lease = leases_[{instance, node_incarnation}];
+    lease.ends = now + settings_.lease + settings_.margin;
+    lease.confirmed_table = std::max(lease.confirmed_table, table_version);
+    return settings_.lease;
+}
+
+bool ownership_planner::has_ended(const holder& h, const std::vector<node_record>& live,
+                                  instant now) const
+{
+    // A node that drains gave up its buckets before it said so.
+    const bool leaving = std::any_of(live.begin(), live.end(), [&](const node_record& r) {
+        return r.instance == h.first && r.node_incarnation == h.second && r.target &&
+               r.target->state == target_state::draining;
+    });
+    if (leaving) {
+        return true;
+    }
+    const auto found = leases_.find(h);
+    return now >= (found == leases_.end() ? unknown_until_ : found->second.ends);
+}
+
+bool ownership_planner::may_assign(const bucket_grant& g, const std::vector<node_record>& live,
+                                   instant now) const
+{
+    if (!g.owner.value().empty()) {
+        return has_ended({g.owner, g.owner_incarnation}, live, now);
+    }
+    if (g.epoch == 0) {
+        return true;
+    }
+    const holder former{g.former_owner, g.former_incarnation};
+    const auto found = leases_.find(former);
+    const bool confirmed = found != leases_.end() && found->second.confirmed_table >= g.changed_in;
+    return confirmed || has_ended(former, live, now);
+}
+
+ownership_planner::candidate_list
+ownership_planner::candidates(const bucket_home& home, const std::vector<node_record>& live,
+                              instant now) const
+{
+    candidate_list result;
+    for (const node_record& r : live) {
+        const bool right_service = r.target && r.target->service == home.first;
+        const bool right_region = home.second.value().empty() || r.place.region == home.second;
+        if (!right_service || !right_region || r.target->state != target_state::ready) {
+            continue;
+        }
+        const auto lease = leases_.find({r.instance, r.node_incarnation});
+        if (lease != leases_.end() && now < lease->second.ends - settings_.margin) {
+            result.push_back({r.instance, r.node_incarnation, 0});
+        }
+    }
+    return result;
+}
+
+void ownership_planner::even_out(const bucket_grants& grants, candidate_list& all,
+                                 owner_change& change) const
+{
+    const std::size_t fair = (buckets_per_home + all.size() - 1) / all.size();
+    const bool someone_lacks = std::any_of(all.begin(), all.end(), [&](const candidate& c) {
+        return c.buckets + 1 < fair;
+    });
+    if (!someone_lacks) {
+        return;
+    }
+    for (std::uint32_t i = 0; i < buckets_per_home; ++i) {
+        const auto owner = std::find_if(all.begin(), all.end(), [&](const candidate& c) {
+            return c.instance == grants[i].owner &&
+                   c.node_incarnation == grants[i].owner_incarnation;
+        });
+        if (owner != all.end() && owner->buckets > fair &&
+            change.grants.size() < settings_.most_moves) {
+            --owner->buckets;
+            change.grants.push_back({i, {}, {}});
+        }
+    }
+}
+
+std::optional<owner_change> ownership_planner::plan_home(const bucket_home& home,
+                                                         const bucket_grants& grants,
+                                                         const std::vector<node_record>& live,
+                                                         instant now) const
+{
+    candidate_list all = candidates(home, live, now);
+    if (all.empty()) {
+        return std::nullopt;
+    }
+    for (candidate& c : all) {
+        c.buckets = static_cast<std::size_t>(
+            std::count_if(grants.begin(), grants.end(), [&](const bucket_grant& g) {
+                return g.owner == c.instance && g.owner_incarnation == c.node_incarnation;
+            }));
+    }
+    owner_change change;
+    change.home = home;
+    bool waiting = false;
+    for (std::uint32_t i = 0; i < buckets_per_home; ++i) {
+        const bucket_grant& g = grants[i];
+        if (!may_assign(g, live, now)) {
+            waiting = waiting || g.owner.value().empty();
+            continue;
+        }
+        const auto least = std::min_element(
+            all.begin(), all.end(),
+            [](const candidate& a, const candidate& b) { return a.buckets < b.buckets; });
+        ++least->buckets;
+        change.grants.push_back({i, least->instance, least->node_incarnation});
+    }
+    if (change.grants.empty() && !waiting) {
+        even_out(grants, all, change);
+    }
+    return change.grants.empty() ? std::nullopt : std::optional<owner_change>(change);
+}
+
+std::optional<owner_change> ownership_planner::plan(const bucket_table& table,
+                                                    const std::vector<node_record>& live,
+                                                    instant now) const
+{
+    std::set<bucket_home> homes;
+    for (const node_record& r : live) {
+        if (r.target) {
+            homes.insert({r.target->service, region_name()});
+            homes.insert({r.target->service, r.place.region});
+        }
+    }
+    for (const bucket_home& home : homes) {
+        const auto found = table.homes.find(home);
+        const bucket_grants grants = found == table.homes.end() ? bucket_grants{} : found->second;
+        if (std::optional<owner_change> change = plan_home(home, grants, live, now)) {
+            return change;
+        }
+    }
+    return std::nullopt;
+}
+
+} // namespace fescuedyke
