--- /dev/null
+++ b/include/fescuedyke/daemon/control_runtime.h
@@ -0,0 +1,93 @@
+#ifndef FESCUEDYKE_DAEMON_CONTROL_RUNTIME_H
+#define FESCUEDYKE_DAEMON_CONTROL_RUNTIME_H
+
+#include "fescuedyke/control/control_core.h"
+#include "fescuedyke/settings/process_settings.h"
+#include "fescuedyke/storage/posix_file_system.h"
+#include "fescuedyke/subscription/config_subscriber.h"
+#include "fescuedyke/transport/event_loop.h"
+#include "fescuedyke/transport/peer_client.h"
+#include "fescuedyke/transport/peer_server.h"
+
+#include <nlohmann/json_fwd.hpp>
+
+#include <functional>
+#include <map>
+#include <memory>
+#include <optional>
+#include <string>
+
+/// \file
+/// Runs a process's control decisions on the control thread: the node's subscription, and the
+/// member's part if the process is one.
+
+namespace fescuedyke {
+
+/// All functions belong to the control thread.
+class control_runtime {
+public:
+    using answer_callback = std::function<void(const answer_change&)>;
+
+    /// \p to_node hands events to the traffic thread.
+    control_runtime(const process_settings& settings, event_loop& loop, random_source& random,
+                    std::uint64_t epoch, std::function<void(node_event)> to_node);
+    ~control_runtime();
+
+    /// Opens the disk if the process is a member, and starts. Fails when the disk is damaged or an
+    /// address is taken.
+    absl::Status start();
+
+    void on_record(const node_record& record, bool wants_lease);
+    void on_account(const account_report& report);
+
+    /// Proposes a change; \p done is called once with what became of it.
+    void change(const policy_change& change, answer_callback done);
+
+    /// Tells the members the last account, hands over the lead, and then calls \p done.
+    void stop(std::function<void()> done);
+
+    /// The member's decisions, or nullptr when the process is no member.
+    const control_core* member() const { return core_.get(); }
+
+    nlohmann::json state() const;
+
+private:
+    void on_subscriber_tick();
+    void on_member_tick();
+    void carry_out(const subscriber_output& output);
+    void send_account(const account_report& report, const std::string& member,
+                      std::function<void()> done);
+    void handle(const control_event& event);
+    void carry_out(const send_consensus& action);
+    void carry_out(const answer_poll& action);
+    void carry_out(const send_member_sync& action);
+    void carry_out(const answer_member_sync& action);
+    void carry_out(const answer_change& action);
+    void on_request(peer_stream_id stream, const std::string& path, std::string body);
+    absl::Status start_member();
+
+    const process_settings& settings_;
+    event_loop& loop_;
+    random_source& random_;
+    std::uint64_t epoch_;
+    std::function<void(node_event)> to_node_;
+    config_subscriber subscriber_;
+    peer_client peers_;
+    std::unique_ptr<peer_server> server_;
+    std::unique_ptr<posix_file_system> files_;
+    std::unique_ptr<member_store> store_;
+    std::unique_ptr<account_book> accounts_;
+    std::unique_ptr<control_core> core_;
+    std::map<request_id, answer_callback> changes_;
+    std::uint64_t next_change_ = 1;
+    account_report last_account_;
+    stored_member found_;
+    bool disk_reported_ = false;
+    std::uint64_t polls_sent_ = 0;
+    std::uint64_t poll_bytes_sent_ = 0;
+    std::uint64_t poll_bytes_received_ = 0;
+};
+
+} // namespace fescuedyke
+
+#endif
--- /dev/null
+++ b/include/fescuedyke/daemon/daemon.h
@@ -0,0 +1,75 @@
+#ifndef FESCUEDYKE_DAEMON_DAEMON_H
+#define FESCUEDYKE_DAEMON_DAEMON_H
+
+#include "fescuedyke/daemon/control_runtime.h"
+#include "fescuedyke/daemon/traffic_runtime.h"
+#include "fescuedyke/settings/process_settings.h"
+#include "fescuedyke/support/clock.h"
+
+#include <memory>
+
+/// \file
+/// One process: its HTTP side, its traffic thread and its control thread.
+
+namespace fescuedyke {
+
+class daemon_process {
+public:
+    /// \p seed starts the random numbers of both threads.
+    daemon_process(const process_settings& settings, std::uint64_t seed);
+    ~daemon_process();
+    daemon_process(const daemon_process&) = delete;
+    daemon_process& operator=(const daemon_process&) = delete;
+
+    /// Serves until SIGTERM or SIGINT, then stops gracefully. Fails when it cannot start.
+    absl::Status run();
+
+private:
+    using http_handler = void (daemon_process::*)(exchange_id, const http_request&,
+                                                  const std::map<std::string, std::string>& query);
+    struct route {
+        const char* method;
+        const char* path;
+        http_handler handler;
+        bool needs_operator;
+    };
+    static const route routes[];
+
+    void on_http(exchange_id exchange, http_request request);
+    void serve_announce(exchange_id exchange, const http_request& request,
+                        const std::map<std::string, std::string>& query);
+    void serve_drain(exchange_id exchange, const http_request& request,
+                     const std::map<std::string, std::string>& query);
+    void serve_state(exchange_id exchange, const http_request& request,
+                     const std::map<std::string, std::string>& query);
+    void serve_targets(exchange_id exchange, const http_request& request,
+                       const std::map<std::string, std::string>& query);
+    void serve_policies(exchange_id exchange, const http_request& request,
+                        const std::map<std::string, std::string>& query);
+    void serve_change(exchange_id exchange, const http_request& request,
+                      const std::map<std::string, std::string>& query);
+    void serve_progress(exchange_id exchange, const http_request& request,
+                        const std::map<std::string, std::string>& query);
+    void serve_accounts(exchange_id exchange, const http_request& request,
+                        const std::map<std::string, std::string>& query);
+    void answer_error(exchange_id exchange, int status, const std::string& message);
+    void answer_changed(exchange_id exchange, const answer_change& result);
+    /// Calls \p work with the member's decisions on the control thread, or answers that this
+    /// process is no member.
+    void with_member(exchange_id exchange, std::function<nlohmann::json(const control_core&)> work);
+    void stop();
+
+    process_settings settings_;
+    system_clock clock_;
+    random_source traffic_random_;
+    random_source control_random_;
+    event_loop traffic_loop_;
+    event_loop control_loop_;
+    http_server http_;
+    std::unique_ptr<traffic_runtime> traffic_;
+    std::unique_ptr<control_runtime> control_;
+};
+
+} // namespace fescuedyke
+
+#endif
--- /dev/null
+++ b/include/fescuedyke/daemon/operator_json.h
@@ -0,0 +1,40 @@
+#ifndef FESCUEDYKE_DAEMON_OPERATOR_JSON_H
+#define FESCUEDYKE_DAEMON_OPERATOR_JSON_H
+
+#include "fescuedyke/control/control_core.h"
+#include "fescuedyke/settings/process_settings.h"
+
+#include <absl/status/statusor.h>
+#include <nlohmann/json_fwd.hpp>
+
+#include <map>
+#include <optional>
+#include <string>
+
+/// \file
+/// What a member answers to operators.
+
+namespace fescuedyke {
+
+/// Whose account is asked for, and for which time.
+struct account_query {
+    owner_name owner;
+    std::optional<wall_time> from;
+    std::optional<wall_time> to;
+};
+
+/// Reads `owner`, and `from` and `to` in milliseconds since the Unix epoch. Fails with
+/// kInvalidArgument, naming the key.
+absl::StatusOr<account_query> parse_account_query(const std::map<std::string, std::string>& query);
+
+nlohmann::json settings_json(const process_settings& settings);
+nlohmann::json targets_json(const lease_table& leases);
+/// Leaves out the private policies of owners that \p caller may not act for.
+nlohmann::json policies_json(const control_state& state, const operator_entry& caller);
+nlohmann::json change_json(const answer_change& result, const control_core& core);
+nlohmann::json progress_json(const control_core& core);
+nlohmann::json accounts_json(const account_book& book, const account_query& query);
+
+} // namespace fescuedyke
+
+#endif
--- /dev/null
+++ b/include/fescuedyke/daemon/traffic_runtime.h
@@ -0,0 +1,89 @@
+#ifndef FESCUEDYKE_DAEMON_TRAFFIC_RUNTIME_H
+#define FESCUEDYKE_DAEMON_TRAFFIC_RUNTIME_H
+
+#include "fescuedyke/control/messages.h"
+#include "fescuedyke/node/node_core.h"
+#include "fescuedyke/transport/event_loop.h"
+#include "fescuedyke/transport/http_server.h"
+#include "fescuedyke/transport/peer_client.h"
+#include "fescuedyke/transport/peer_server.h"
+#include "fescuedyke/transport/target_client.h"
+
+#include <nlohmann/json_fwd.hpp>
+
+#include <functional>
+#include <map>
+#include <memory>
+#include <utility>
+
+/// \file
+/// Runs the node's decisions on the traffic thread and carries out what they ask for.
+
+namespace fescuedyke {
+
+/// What the traffic side tells the control side. Called on the traffic thread.
+struct traffic_listeners {
+    std::function<void(const node_record&, bool wants_lease)> on_record;
+    std::function<void(const account_report&)> on_account;
+};
+
+/// All functions belong to the traffic thread.
+class traffic_runtime {
+public:
+    traffic_runtime(const node_settings& settings, event_loop& loop, http_server& http,
+                    random_source& random, traffic_listeners listeners);
+    ~traffic_runtime();
+
+    /// Starts to serve other nodes. Fails with kUnavailable when the address is taken.
+    absl::Status start();
+
+    void handle(const node_event& event);
+
+    /// The target announced itself at \p address.
+    void on_announced(const target_announced& event, const endpoint& address);
+
+    /// Lets open calls end, for at most \p limit, and then calls \p done.
+    void stop(millis limit, std::function<void()> done);
+
+    /// Closes all connections.
+    void shut_down();
+
+    nlohmann::json state() const;
+
+private:
+    void carry_out(const node_actions& actions);
+    void carry_out(const answer_caller& action);
+    void carry_out(const send_call& action);
+    void carry_out(const cancel_call& action);
+    void carry_out(const dispatch_call& action);
+    void carry_out(const cancel_dispatch& action);
+    void carry_out(const reply_call& action);
+    void on_peer_request(peer_stream_id stream, const std::string& path, std::string body);
+    void on_tick();
+    void publish_record();
+    void publish_account();
+    void check_stopped();
+
+    node_settings settings_;
+    event_loop& loop_;
+    http_server& http_;
+    traffic_listeners listeners_;
+    node_core core_;
+    peer_client peers_;
+    peer_server server_;
+    target_client target_;
+    endpoint target_address_;
+    target_announced target_info_;
+    std::map<std::pair<call_id, int>, peer_request_id> attempts_;
+    node_record record_;
+    std::uint64_t account_sequence_ = 0;
+    std::uint64_t events_handled_ = 0;
+    instant last_account_;
+    bool target_was_ready_ = false;
+    std::function<void()> on_stopped_;
+    instant stop_by_;
+};
+
+} // namespace fescuedyke
+
+#endif
--- a/include/fescuedyke/node/actions.h
+++ b/include/fescuedyke/node/actions.h
@@ -43,6 +43,8 @@
     inbound_id call;
     shared_request request;
     std::string token;
+    /// Whether a connection that dies under the request may be replaced and the request sent again.
+    bool may_repeat = false;
 };
 
 /// Cancel a call at the target.
--- a/include/fescuedyke/node/node_core.h
+++ b/include/fescuedyke/node/node_core.h
@@ -28,7 +28,7 @@
     bool idle() const;
 
     /// Returns whether the node has what it needs to serve.
-    bool configured() const { return policies_version_ > config_version(0); }
+    bool configured() const { return configured_; }
 
     const node_settings& settings() const { return settings_; }
     const account& accounts() const { return accounts_; }
@@ -72,6 +72,7 @@
     inbound_calls inbound_;
     outbound_calls outbound_;
     config_version policies_version_;
+    bool configured_ = false;
     instant last_sweep_;
 };
 
--- a/include/fescuedyke/once/ownership.h
+++ b/include/fescuedyke/once/ownership.h
@@ -69,9 +69,15 @@
     /// of at least \p table_version, so that a lease never goes with an older table.
     void on_lease(instant until, std::uint64_t table_version);
 
-    /// Gives up all buckets for good, before a graceful leave; only later grants count again.
+    /// Gives up all buckets for good, before a graceful leave; only grants to a later incarnation
+    /// count again.
     void release_all();
 
+    /// Goes on as another incarnation, after a leave that was taken back.
+    void renew(incarnation next);
+
+    incarnation self_incarnation() const { return self_incarnation_; }
+
     /// The former owner's records of a bucket have all been taken over.
     void on_history_taken_over(const bucket_home& home, bucket_index bucket);
 
@@ -90,8 +96,7 @@
     instant lease_until_;
     std::uint64_t table_version_ = 0;
     std::map<hold_key, bucket_hold> holds_;
-    /// Epochs that were given up, by bucket.
-    std::map<hold_key, std::uint64_t> released_;
+    bool released_ = false;
 };
 
 } // namespace fescuedyke
--- /dev/null
+++ b/include/fescuedyke/transport/frame.h
@@ -0,0 +1,23 @@
+#ifndef FESCUEDYKE_TRANSPORT_FRAME_H
+#define FESCUEDYKE_TRANSPORT_FRAME_H
+
+#include "fescuedyke/call/message.h"
+
+#include <string>
+
+/// \file
+/// The bytes of one request or response between processes of the system.
+
+namespace fescuedyke {
+
+/// A head of its own and a body that is shared with whoever else holds it.
+struct frame {
+    std::string head;
+    payload body;
+
+    std::size_t size() const { return head.size() + (body ? body->size() : 0); }
+};
+
+} // namespace fescuedyke
+
+#endif
--- /dev/null
+++ b/lib/daemon/control_runtime.cpp
@@ -0,0 +1,319 @@
+#include "fescuedyke/daemon/control_runtime.h"
+
+#include "fescuedyke/codec/call_codec.h"
+#include "fescuedyke/daemon/state_json.h"
+#include "fescuedyke/logging/json_log.h"
+
+#include <nlohmann/json.hpp>
+
+#include <utility>
+
+namespace fescuedyke {
+
+namespace {
+
+constexpr millis subscriber_tick_period{25};
+constexpr millis member_tick_period{20};
+constexpr millis last_word_limit{2000};
+constexpr std::uint64_t most_control_bytes = 64ULL << 20U;
+
+constexpr const char* consensus_path = "/consensus";
+constexpr const char* poll_path = "/poll";
+constexpr const char* sync_path = "/sync";
+constexpr const char* account_path = "/account";
+
+std::vector<member_seed> seeds_of(const process_settings& settings)
+{
+    std::vector<member_seed> seeds;
+    for (const member_address& m : settings.members) {
+        seeds.push_back({m.name, m.control});
+    }
+    return seeds;
+}
+
+member_entry entry_of(const member_address& m)
+{
+    member_entry entry;
+    entry.id.name = m.name;
+    entry.address = m.control;
+    entry.api_address = m.api;
+    return entry;
+}
+
+} // namespace
+
+control_runtime::control_runtime(const process_settings& settings, event_loop& loop,
+                                 random_source& random, std::uint64_t epoch,
+                                 std::function<void(node_event)> to_node)
+    : settings_(settings), loop_(loop), random_(random), epoch_(epoch),
+      to_node_(std::move(to_node)), subscriber_(subscriber_settings{}, seeds_of(settings)),
+      peers_(loop)
+{
+}
+
+control_runtime::~control_runtime() = default;
+
+absl::Status control_runtime::start()
+{
+    if (settings_.is_member) {
+        if (absl::Status started = start_member(); !started.ok()) {
+            return started;
+        }
+        loop_.after(member_tick_period, [this] { on_member_tick(); });
+    }
+    loop_.after(subscriber_tick_period, [this] { on_subscriber_tick(); });
+    return absl::OkStatus();
+}
+
+absl::Status control_runtime::start_member()
+{
+    absl::StatusOr<std::unique_ptr<posix_file_system>> files =
+        posix_file_system::open(settings_.data);
+    if (!files.ok()) {
+        return files.status();
+    }
+    files_ = std::move(*files);
+    store_ = std::make_unique<member_store>(*files_);
+    absl::StatusOr<stored_member> found =
+        store_->open(settings_.instance.value(), random_() | 1U);
+    if (!found.ok()) {
+        return found.status();
+    }
+    found_ = std::move(*found);
+    const control_settings tuning;
+    accounts_ = std::make_unique<account_book>(tuning.accounts, *files_);
+    if (absl::Status opened = accounts_->open(); !opened.ok()) {
+        return opened;
+    }
+    member_list initial;
+    member_entry self;
+    for (const member_address& m : settings_.members) {
+        initial.push_back(entry_of(m));
+        if (m.name == settings_.instance.value()) {
+            self = entry_of(m);
+        }
+    }
+    self.id = found_.id;
+    core_ = std::make_unique<control_core>(tuning, self, initial, found_, epoch_, *store_,
+                                           *accounts_, random_);
+    write_log(log_level::info, "member-opened",
+              {{"disk", found_.id.disk},
+               {"bytes_read", found_.bytes_read},
+               {"frames_read", found_.frames_read},
+               {"snapshot", found_.state.base.index.value()},
+               {"entries", found_.state.entries.size()}});
+    server_ = std::make_unique<peer_server>(
+        loop_,
+        peer_server::handlers{[this](peer_stream_id stream, const std::string& path,
+                                     std::string body) {
+                                  on_request(stream, path, std::move(body));
+                              },
+                              [](peer_stream_id) {},
+                              [](std::uint64_t bytes) { return bytes <= most_control_bytes; }});
+    return server_->listen(self.address);
+}
+
+void control_runtime::on_record(const node_record& record, bool wants_lease)
+{
+    subscriber_.on_record(record, wants_lease);
+    carry_out(subscriber_.tick(loop_.now().now));
+}
+
+void control_runtime::on_account(const account_report& report)
+{
+    last_account_ = report;
+    for (const std::string& member : subscriber_.chosen(loop_.now().now)) {
+        send_account(report, member, [] {});
+    }
+}
+
+void control_runtime::send_account(const account_report& report, const std::string& member,
+                                   std::function<void()> done)
+{
+    const auto found = subscriber_.members().find(member);
+    if (found == subscriber_.members().end()) {
+        done();
+        return;
+    }
+    peers_.send(found->second.address, account_path, {encode_account_report(report), nullptr},
+                [done = std::move(done)](const peer_result&) { done(); });
+}
+
+void control_runtime::on_subscriber_tick()
+{
+    loop_.after(subscriber_tick_period, [this] { on_subscriber_tick(); });
+    carry_out(subscriber_.tick(loop_.now().now));
+}
+
+void control_runtime::carry_out(const subscriber_output& output)
+{
+    for (const outgoing_poll& p : output.polls) {
+        std::string body = encode_poll(p.poll);
+        ++polls_sent_;
+        poll_bytes_sent_ += body.size();
+        const std::uint64_t number = p.number;
+        peers_.send(p.address, poll_path, {std::move(body), nullptr},
+                    [this, number](peer_result result) {
+                        const instant now = loop_.now().now;
+                        const auto* bytes = std::get_if<std::string>(&result);
+                        if (bytes == nullptr) {
+                            subscriber_.on_failed(number, now);
+                            return;
+                        }
+                        poll_bytes_received_ += bytes->size();
+                        const absl::StatusOr<poll_reply> reply = decode_poll_reply(*bytes);
+                        if (!reply.ok()) {
+                            subscriber_.on_failed(number, now);
+                            return;
+                        }
+                        carry_out(subscriber_.on_reply(number, *reply, now));
+                    });
+    }
+    for (const node_event& event : output.events) {
+        to_node_(event);
+    }
+}
+
+void control_runtime::on_member_tick()
+{
+    loop_.after(member_tick_period, [this] { on_member_tick(); });
+    handle(control_tick{});
+    if (!core_->disk().ok() && !disk_reported_) {
+        disk_reported_ = true;
+        write_log(log_level::error, "member-disk-failed",
+                  {{"message", std::string(core_->disk().message())}});
+    }
+}
+
+void control_runtime::handle(const control_event& event)
+{
+    for (const control_action& action : core_->handle(event, loop_.now())) {
+        std::visit([this](const auto& a) { carry_out(a); }, action);
+    }
+}
+
+void control_runtime::carry_out(const send_consensus& action)
+{
+    peers_.send(action.address, consensus_path, {encode_consensus(action.message), nullptr},
+                [](const peer_result&) {});
+}
+
+void control_runtime::carry_out(const answer_poll& action)
+{
+    server_->respond(peer_stream_id(action.request.value()),
+                     {encode_poll_reply(action.reply), nullptr});
+}
+
+void control_runtime::carry_out(const send_member_sync& action)
+{
+    peers_.send(action.address, sync_path, {encode_member_sync(action.sync), nullptr},
+                [this](peer_result result) {
+                    const auto* bytes = std::get_if<std::string>(&result);
+                    if (bytes == nullptr) {
+                        return;
+                    }
+                    absl::StatusOr<member_sync> sync = decode_member_sync(*bytes);
+                    if (sync.ok()) {
+                        handle(member_sync_answered{std::move(*sync)});
+                    }
+                });
+}
+
+void control_runtime::carry_out(const answer_member_sync& action)
+{
+    server_->respond(peer_stream_id(action.request.value()),
+                     {encode_member_sync(action.sync), nullptr});
+}
+
+void control_runtime::carry_out(const answer_change& action)
+{
+    const auto found = changes_.find(action.request);
+    if (found == changes_.end()) {
+        return;
+    }
+    const answer_callback done = std::move(found->second);
+    changes_.erase(found);
+    done(action);
+}
+
+void control_runtime::on_request(peer_stream_id stream, const std::string& path, std::string body)
+{
+    const request_id request(stream.value());
+    if (path == poll_path) {
+        if (absl::StatusOr<node_poll> poll = decode_poll(body); poll.ok()) {
+            handle(poll_received{request, std::move(*poll)});
+            return;
+        }
+    }
+    else if (path == sync_path) {
+        if (absl::StatusOr<member_sync> sync = decode_member_sync(body); sync.ok()) {
+            handle(member_sync_received{request, std::move(*sync)});
+            return;
+        }
+    }
+    else if (path == consensus_path) {
+        server_->respond(stream, {});
+        if (absl::StatusOr<consensus_message> message = decode_consensus(body); message.ok()) {
+            handle(consensus_received{std::move(*message)});
+            return;
+        }
+    }
+    else if (path == account_path) {
+        if (absl::StatusOr<account_report> report = decode_account_report(body); report.ok()) {
+            handle(account_report_received{std::move(*report)});
+            server_->respond(stream, {});
+            return;
+        }
+    }
+    write_log(log_level::warning, "malformed-control-request", {{"path", path}});
+    server_->respond(stream, {});
+}
+
+void control_runtime::change(const policy_change& change, answer_callback done)
+{
+    const request_id request(next_change_++);
+    changes_[request] = std::move(done);
+    handle(change_requested{request, change});
+}
+
+void control_runtime::stop(std::function<void()> done)
+{
+    const auto once = std::make_shared<bool>(false);
+    const auto finish = [this, once, done = std::move(done)] {
+        if (std::exchange(*once, true)) {
+            return;
+        }
+        if (core_) {
+            handle(control_stopping{});
+        }
+        // The hand-over's message goes out with the next turns of the loop.
+        loop_.after(member_tick_period, done);
+    };
+    loop_.after(last_word_limit, finish);
+    const std::vector<std::string> members = subscriber_.chosen(loop_.now().now);
+    if (members.empty() || last_account_.sequence == 0) {
+        finish();
+        return;
+    }
+    for (const std::string& member : members) {
+        send_account(last_account_, member, finish);
+    }
+}
+
+nlohmann::json control_runtime::state() const
+{
+    const instant now = loop_.now().now;
+    nlohmann::json json;
+    json["subscription"] = subscriber_state_json(subscriber_, now);
+    json["subscription"]["polls_sent"] = polls_sent_;
+    json["subscription"]["poll_bytes_sent"] = poll_bytes_sent_;
+    json["subscription"]["poll_bytes_received"] = poll_bytes_received_;
+    if (core_) {
+        json["member"] = member_state_json(*core_, now);
+        json["member"]["start"] = {{"bytes_read", found_.bytes_read},
+                                   {"frames_read", found_.frames_read}};
+    }
+    return json;
+}
+
+} // namespace fescuedyke
--- /dev/null
+++ b/lib/daemon/daemon.cpp
@@ -0,0 +1,341 @@
+#include "fescuedyke/daemon/daemon.h"
+
+#include "fescuedyke/daemon/http_api.h"
+#include "fescuedyke/daemon/operator_json.h"
+#include "fescuedyke/daemon/outcome_http.h"
+#include "fescuedyke/logging/json_log.h"
+
+#include <nlohmann/json.hpp>
+
+#include <csignal>
+#include <pthread.h>
+#include <thread>
+#include <utility>
+
+namespace fescuedyke {
+
+namespace {
+
+using json = nlohmann::json;
+
+constexpr int ok_status = 200;
+constexpr int accepted_status = 202;
+constexpr int bad_request_status = 400;
+constexpr int unauthorized_status = 401;
+constexpr int forbidden_status = 403;
+constexpr int not_found_status = 404;
+constexpr int conflict_status = 409;
+constexpr int misdirected_status = 421;
+constexpr int unavailable_status = 503;
+
+/// After the listening sockets close, answers on their way still go out for this long.
+constexpr millis last_answers{50};
+
+node_settings node_settings_of(const process_settings& settings, incarnation start)
+{
+    node_settings node;
+    node.self = settings.instance;
+    node.self_incarnation = start;
+    node.place = settings.place;
+    node.address = settings.peer;
+    node.owner = settings.owner;
+    node.routing.subset_size = settings.subset;
+    node.memory_bytes = settings.memory_bytes;
+    node.region_bytes_per_second = settings.region_bytes_per_second;
+    return node;
+}
+
+http_server_settings http_settings_of(const process_settings& settings)
+{
+    http_server_settings http;
+    http.address = settings.http;
+    http.threads = settings.http_threads;
+    return http;
+}
+
+sigset_t stop_signals()
+{
+    sigset_t signals;
+    sigemptyset(&signals);
+    sigaddset(&signals, SIGTERM);
+    sigaddset(&signals, SIGINT);
+    return signals;
+}
+
+} // namespace
+
+const daemon_process::route daemon_process::routes[] = {
+    {"POST", "/v1/target/announce", &daemon_process::serve_announce, false},
+    {"POST", "/v1/target/drain", &daemon_process::serve_drain, false},
+    {"POST", "/v1/target/leave", &daemon_process::serve_drain, false},
+    {"GET", "/v1/state", &daemon_process::serve_state, true},
+    {"GET", "/v1/targets", &daemon_process::serve_targets, true},
+    {"GET", "/v1/policies", &daemon_process::serve_policies, true},
+    {"POST", "/v1/policies", &daemon_process::serve_change, true},
+    {"GET", "/v1/progress", &daemon_process::serve_progress, true},
+    {"GET", "/v1/accounts", &daemon_process::serve_accounts, true},
+};
+
+daemon_process::daemon_process(const process_settings& settings, std::uint64_t seed)
+    : settings_(settings), traffic_random_(seed), control_random_(seed + 1),
+      traffic_loop_(clock_), control_loop_(clock_),
+      http_(http_settings_of(settings),
+            {[this](exchange_id exchange, http_request request) {
+                 on_http(exchange, std::move(request));
+             },
+             [this](exchange_id exchange) {
+                 traffic_loop_.post([this, exchange] { traffic_->handle(caller_gone{exchange}); });
+             }})
+{
+    // Starts of one instance are ordered by the time of its start.
+    const auto start = static_cast<std::uint64_t>(clock_.read().wall.since_origin());
+    control_ = std::make_unique<control_runtime>(
+        settings_, control_loop_, control_random_, start, [this](node_event event) {
+            traffic_loop_.post([this, event = std::move(event)] { traffic_->handle(event); });
+        });
+    traffic_listeners listeners;
+    listeners.on_record = [this](const node_record& record, bool wants_lease) {
+        control_loop_.post(
+            [this, record, wants_lease] { control_->on_record(record, wants_lease); });
+    };
+    listeners.on_account = [this](const account_report& report) {
+        control_loop_.post([this, report] { control_->on_account(report); });
+    };
+    traffic_ = std::make_unique<traffic_runtime>(node_settings_of(settings_, incarnation(start)),
+                                                 traffic_loop_, http_, traffic_random_,
+                                                 std::move(listeners));
+}
+
+daemon_process::~daemon_process() = default;
+
+absl::Status daemon_process::run()
+{
+    const sigset_t signals = stop_signals();
+    pthread_sigmask(SIG_BLOCK, &signals, nullptr);
+    if (absl::Status started = control_->start(); !started.ok()) {
+        return started;
+    }
+    if (absl::Status started = traffic_->start(); !started.ok()) {
+        return started;
+    }
+    if (absl::Status started = http_.start(); !started.ok()) {
+        return started;
+    }
+    std::thread traffic([this] { traffic_loop_.run(); });
+    std::thread control([this] { control_loop_.run(); });
+    write_log(log_level::info, "started",
+              {{"http", to_string(settings_.http)}, {"peer", to_string(settings_.peer)}});
+    int signal = 0;
+    sigwait(&signals, &signal);
+    write_log(log_level::info, "stopping", {{"signal", signal}});
+    stop();
+    traffic.join();
+    control.join();
+    write_log(log_level::info, "stopped", json::object());
+    return absl::OkStatus();
+}
+
+void daemon_process::stop()
+{
+    traffic_loop_.post([this] {
+        traffic_->stop(settings_.drain_limit, [this] {
+            control_loop_.post([this] {
+                control_->stop([this] {
+                    control_loop_.stop();
+                    traffic_loop_.post([this] {
+                        traffic_->shut_down();
+                        http_.stop();
+                        traffic_loop_.after(last_answers, [this] { traffic_loop_.stop(); });
+                    });
+                });
+            });
+        });
+    });
+}
+
+void daemon_process::answer_error(exchange_id exchange, int status, const std::string& message)
+{
+    http_.answer(exchange, json_answer(status, {{"error", message}}));
+}
+
+void daemon_process::on_http(exchange_id exchange, http_request request)
+{
+    if (absl::StatusOr<call_target> call = parse_call_path(request.path); call.ok()) {
+        request.path = call->path;
+        caller_request event{exchange, call->service,
+                             std::make_shared<http_request>(std::move(request))};
+        traffic_loop_.post([this, event = std::move(event)] { traffic_->handle(event); });
+        return;
+    }
+    const http_target target = split_target(request.path);
+    for (const route& r : routes) {
+        if (request.method != r.method || target.path != r.path) {
+            continue;
+        }
+        const bool known = find_operator(settings_.operators, request.headers) != nullptr;
+        if (r.needs_operator && !known) {
+            answer_error(exchange, unauthorized_status, "authorization: no known operator's token");
+            return;
+        }
+        (this->*r.handler)(exchange, request, target.query);
+        return;
+    }
+    answer_error(exchange, not_found_status, "path: nothing is served here");
+}
+
+void daemon_process::serve_announce(exchange_id exchange, const http_request& request,
+                                    const std::map<std::string, std::string>& query)
+{
+    (void)query;
+    const absl::StatusOr<announcement> a = parse_announcement(*request.body);
+    if (!a.ok()) {
+        answer_error(exchange, bad_request_status, std::string(a.status().message()));
+        return;
+    }
+    if (a->address.host != settings_.http.host) {
+        answer_error(exchange, bad_request_status, "address: is not on this instance");
+        return;
+    }
+    traffic_loop_.post([this, exchange, a = *a] {
+        traffic_->on_announced(a.event, a.address);
+        http_.answer(exchange, json_answer(ok_status, {{"instance", settings_.instance.value()}}));
+    });
+}
+
+void daemon_process::serve_drain(exchange_id exchange, const http_request& request,
+                                 const std::map<std::string, std::string>& query)
+{
+    (void)request;
+    (void)query;
+    traffic_loop_.post([this, exchange] {
+        traffic_->handle(target_draining{});
+        http_.answer(exchange, json_answer(ok_status, {{"draining", true}}));
+    });
+}
+
+void daemon_process::serve_state(exchange_id exchange, const http_request& request,
+                                 const std::map<std::string, std::string>& query)
+{
+    (void)query;
+    const operator_entry* caller = find_operator(settings_.operators, request.headers);
+    if (!may_act_for(*caller, settings_.owner)) {
+        answer_error(exchange, forbidden_status, "state: belongs to another owner");
+        return;
+    }
+    traffic_loop_.post([this, exchange] {
+        const json node = traffic_->state();
+        control_loop_.post([this, exchange, node] {
+            json state = control_->state();
+            state["node"] = node;
+            state["settings"] = settings_json(settings_);
+            http_.answer(exchange, json_answer(ok_status, state));
+        });
+    });
+}
+
+void daemon_process::with_member(exchange_id exchange,
+                                 std::function<json(const control_core&)> work)
+{
+    if (!settings_.is_member) {
+        answer_error(exchange, misdirected_status, "this process is no control member");
+        return;
+    }
+    control_loop_.post([this, exchange, work = std::move(work)] {
+        http_.answer(exchange, json_answer(ok_status, work(*control_->member())));
+    });
+}
+
+void daemon_process::serve_targets(exchange_id exchange, const http_request& request,
+                                   const std::map<std::string, std::string>& query)
+{
+    (void)request;
+    (void)query;
+    with_member(exchange, [](const control_core& core) { return targets_json(core.leases()); });
+}
+
+void daemon_process::serve_policies(exchange_id exchange, const http_request& request,
+                                    const std::map<std::string, std::string>& query)
+{
+    (void)query;
+    const operator_entry caller = *find_operator(settings_.operators, request.headers);
+    with_member(exchange, [caller](const control_core& core) {
+        return policies_json(core.state(), caller);
+    });
+}
+
+void daemon_process::serve_change(exchange_id exchange, const http_request& request,
+                                  const std::map<std::string, std::string>& query)
+{
+    (void)query;
+    if (!settings_.is_member) {
+        answer_error(exchange, misdirected_status, "this process is no control member");
+        return;
+    }
+    absl::StatusOr<policy_change> change = parse_change(*request.body);
+    if (!change.ok()) {
+        answer_error(exchange, bad_request_status, std::string(change.status().message()));
+        return;
+    }
+    const operator_entry* caller = find_operator(settings_.operators, request.headers);
+    if (!may_act_for(*caller, change->owner)) {
+        answer_error(exchange, forbidden_status, "owner: this operator may not act for it");
+        return;
+    }
+    change->operator_name = caller->name;
+    control_loop_.post([this, exchange, change = std::move(*change)] {
+        control_->change(change, [this, exchange](const answer_change& result) {
+            answer_changed(exchange, result);
+        });
+    });
+}
+
+void daemon_process::answer_changed(exchange_id exchange, const answer_change& result)
+{
+    switch (result.outcome) {
+    case change_outcome::decided: {
+        const bool accepted = result.result.code == change_code::accepted;
+        http_.answer(exchange, json_answer(accepted ? ok_status : conflict_status,
+                                           change_json(result, *control_->member())));
+        return;
+    }
+    case change_outcome::not_leader:
+        http_.answer(exchange, json_answer(misdirected_status, change_json(result, *control_->member())));
+        return;
+    case change_outcome::unknown:
+        http_.answer(exchange, json_answer(unavailable_status, change_json(result, *control_->member())));
+        return;
+    }
+}
+
+void daemon_process::serve_progress(exchange_id exchange, const http_request& request,
+                                    const std::map<std::string, std::string>& query)
+{
+    (void)request;
+    (void)query;
+    with_member(exchange, [](const control_core& core) { return progress_json(core); });
+}
+
+void daemon_process::serve_accounts(exchange_id exchange, const http_request& request,
+                                    const std::map<std::string, std::string>& query)
+{
+    const operator_entry* caller = find_operator(settings_.operators, request.headers);
+    const auto owner = query.find("owner");
+    if (owner == query.end()) {
+        answer_error(exchange, bad_request_status, "owner: is missing");
+        return;
+    }
+    if (!may_act_for(*caller, owner_name(owner->second))) {
+        answer_error(exchange, forbidden_status, "owner: this operator may not read its account");
+        return;
+    }
+    const absl::StatusOr<account_query> range = parse_account_query(query);
+    if (!range.ok()) {
+        answer_error(exchange, bad_request_status, std::string(range.status().message()));
+        return;
+    }
+    with_member(exchange, [range = *range](const control_core& core) {
+        return accounts_json(core.accounts(), range);
+    });
+}
+
+} // namespace fescuedyke
--- /dev/null
+++ b/lib/daemon/outcome_http.cpp
@@ -0,0 +1,67 @@
+#include "fescuedyke/daemon/outcome_http.h"
+
+#include <nlohmann/json.hpp>
+
+#include <string>
+
+namespace fescuedyke {
+
+namespace {
+
+constexpr int bad_request_status = 400;
+constexpr int too_large_status = 413;
+constexpr int bad_gateway_status = 502;
+constexpr int unavailable_status = 503;
+constexpr int gateway_timeout_status = 504;
+constexpr std::int64_t ms_per_second = 1000;
+
+int status_of(const outcome& result)
+{
+    if (result.kind == outcome_kind::unknown) {
+        return result.reason == outcome_reason::timed_out ? gateway_timeout_status
+                                                          : bad_gateway_status;
+    }
+    if (result.reason == outcome_reason::too_large) {
+        return too_large_status;
+    }
+    return result.retry_helps ? unavailable_status : bad_request_status;
+}
+
+} // namespace
+
+http_answer json_answer(int status, const nlohmann::json& body)
+{
+    http_answer answer;
+    answer.status = status;
+    answer.headers = {{"content-type", "application/json"}};
+    const auto replace = nlohmann::json::error_handler_t::replace;
+    answer.body =
+        std::make_shared<const std::string>(body.dump(-1, ' ', false, replace) + "\n");
+    return answer;
+}
+
+http_answer to_http(const outcome& result, const http_answer& answer)
+{
+    if (result.kind == outcome_kind::answered) {
+        http_answer whole = answer;
+        whole.headers.push_back({"fescue-outcome", to_string(result.kind)});
+        return whole;
+    }
+    const std::string after = std::to_string(result.retry_after.count());
+    http_answer told = json_answer(status_of(result),
+                                   {{"outcome", to_string(result.kind)},
+                                    {"reason", to_string(result.reason)},
+                                    {"retry_helps", result.retry_helps},
+                                    {"retry_after_ms", result.retry_after.count()}});
+    told.headers.push_back({"fescue-outcome", to_string(result.kind)});
+    told.headers.push_back({"fescue-reason", to_string(result.reason)});
+    told.headers.push_back({"fescue-retry-helps", result.retry_helps ? "true" : "false"});
+    told.headers.push_back({"fescue-retry-after", after + "ms"});
+    if (result.retry_helps) {
+        const std::int64_t seconds = (result.retry_after.count() + ms_per_second - 1) / ms_per_second;
+        told.headers.push_back({"retry-after", std::to_string(seconds)});
+    }
+    return told;
+}
+
+} // namespace fescuedyke
--- /dev/null
+++ b/lib/daemon/traffic_runtime.cpp
@@ -0,0 +1,253 @@
+#include "fescuedyke/daemon/traffic_runtime.h"
+
+#include "fescuedyke/codec/call_codec.h"
+#include "fescuedyke/daemon/handover_codec.h"
+#include "fescuedyke/daemon/outcome_http.h"
+#include "fescuedyke/daemon/state_json.h"
+#include "fescuedyke/logging/json_log.h"
+#include "fescuedyke/node/caller_headers.h"
+
+#include <nlohmann/json.hpp>
+
+#include <utility>
+
+namespace fescuedyke {
+
+namespace {
+
+constexpr millis tick_period{10};
+constexpr millis account_period{1000};
+constexpr const char* call_path = "/call";
+
+} // namespace
+
+traffic_runtime::traffic_runtime(const node_settings& settings, event_loop& loop,
+                                 http_server& http, random_source& random,
+                                 traffic_listeners listeners)
+    : settings_(settings), loop_(loop), http_(http), listeners_(std::move(listeners)),
+      core_(settings, random), peers_(loop),
+      server_(loop, {[this](peer_stream_id stream, const std::string& path, std::string body) {
+                         on_peer_request(stream, path, std::move(body));
+                     },
+                     [this](peer_stream_id stream) {
+                         handle(peer_cancelled{exchange_id(stream.value())});
+                     },
+                     [this](std::uint64_t bytes) {
+                         const auto& admission = core_.inbound().admission();
+                         const std::uint64_t held = admission ? admission->bytes_held() : 0;
+                         return held + bytes <= settings_.memory_bytes;
+                     }}),
+      target_(loop)
+{
+}
+
+traffic_runtime::~traffic_runtime() = default;
+
+absl::Status traffic_runtime::start()
+{
+    if (absl::Status listening = server_.listen(settings_.address); !listening.ok()) {
+        return listening;
+    }
+    publish_record();
+    loop_.after(tick_period, [this] { on_tick(); });
+    return absl::OkStatus();
+}
+
+void traffic_runtime::handle(const node_event& event)
+{
+    ++events_handled_;
+    carry_out(core_.handle(event, loop_.now()));
+}
+
+void traffic_runtime::on_announced(const target_announced& event, const endpoint& address)
+{
+    target_address_ = address;
+    target_info_ = event;
+    handle(event);
+    publish_record();
+}
+
+void traffic_runtime::on_tick()
+{
+    loop_.after(tick_period, [this] { on_tick(); });
+    handle(tick{});
+    const moment at = loop_.now();
+    if (core_.inbound().ready(at.now) != target_was_ready_) {
+        publish_record();
+    }
+    if (at.now - last_account_ >= account_period) {
+        last_account_ = at.now;
+        publish_account();
+    }
+    check_stopped();
+}
+
+void traffic_runtime::publish_record()
+{
+    const inbound_calls& inbound = core_.inbound();
+    target_was_ready_ = inbound.ready(loop_.now().now);
+    const incarnation present = core_.owned().self_incarnation();
+    record_.sequence = present == record_.node_incarnation ? record_.sequence + 1 : 1;
+    record_.instance = settings_.self;
+    record_.node_incarnation = present;
+    record_.address = settings_.address;
+    record_.place = settings_.place;
+    record_.owner = settings_.owner;
+    record_.target.reset();
+    if (inbound.has_target()) {
+        const target_state state =
+            target_was_ready_ ? target_state::ready : target_state::draining;
+        record_.target = target_announcement{target_info_.service, target_info_.labels,
+                                             target_info_.slots, state};
+    }
+    listeners_.on_record(record_, target_was_ready_);
+}
+
+void traffic_runtime::publish_account()
+{
+    account_report report;
+    report.instance = settings_.self;
+    report.node_incarnation = settings_.self_incarnation;
+    report.owner = settings_.owner;
+    report.sequence = ++account_sequence_;
+    report.at = loop_.now().wall;
+    report.rows = core_.accounts().rows();
+    const auto& keys = core_.accounts().unknown_keys();
+    report.unknown_keys.assign(keys.begin(), keys.end());
+    listeners_.on_account(report);
+}
+
+void traffic_runtime::stop(millis limit, std::function<void()> done)
+{
+    on_stopped_ = std::move(done);
+    stop_by_ = loop_.now().now + limit;
+    handle(node_stopping{});
+    publish_record();
+}
+
+void traffic_runtime::check_stopped()
+{
+    if (!on_stopped_ || (!core_.idle() && loop_.now().now < stop_by_)) {
+        return;
+    }
+    if (!core_.idle()) {
+        write_log(log_level::warning, "drain-limit-reached",
+                  {{"inbound", core_.inbound().open_calls()},
+                   {"outbound", core_.outbound().open_calls()}});
+    }
+    publish_account();
+    std::exchange(on_stopped_, nullptr)();
+}
+
+void traffic_runtime::shut_down()
+{
+    server_.shut_down();
+}
+
+nlohmann::json traffic_runtime::state() const
+{
+    nlohmann::json json = node_state_json(core_, loop_.now().now);
+    json["events"] = events_handled_;
+    json["peer_connections"] = peers_.connections();
+    return json;
+}
+
+void traffic_runtime::on_peer_request(peer_stream_id stream, const std::string& path,
+                                      std::string body)
+{
+    if (path == handover_path) {
+        absl::StatusOr<records_handed_over> records = decode_handover(body);
+        if (records.ok()) {
+            handle(*records);
+        }
+        server_.respond(stream, {});
+        return;
+    }
+    absl::StatusOr<decoded_call> call = decode_call(body);
+    if (path != call_path || !call.ok()) {
+        write_log(log_level::warning, "malformed-peer-request", {{"path", path}});
+        call_reply refusal;
+        refusal.result = outcome::not_run(outcome_reason::bad_request);
+        server_.respond(stream, {encode_reply_head(refusal), nullptr});
+        return;
+    }
+    handle(peer_call{exchange_id(stream.value()), std::move(call->context),
+                     std::make_shared<http_request>(std::move(call->request))});
+}
+
+void traffic_runtime::carry_out(const node_actions& actions)
+{
+    for (const node_action& action : actions) {
+        std::visit([this](const auto& a) { carry_out(a); }, action);
+    }
+}
+
+void traffic_runtime::carry_out(const answer_caller& action)
+{
+    http_.answer(action.exchange, to_http(action.result, action.answer));
+}
+
+void traffic_runtime::carry_out(const send_call& action)
+{
+    const call_id call = action.context.call;
+    const int attempt = action.context.attempt;
+    frame body{encode_call_head(action.context, *action.request), action.request->body};
+    const peer_request_id request =
+        peers_.send(action.address, call_path, std::move(body), [=](peer_result result) {
+            attempts_.erase({call, attempt});
+            if (const auto* failure = std::get_if<stream_failure>(&result)) {
+                const bool never = *failure == stream_failure::never_processed;
+                handle(peer_failed{call, attempt,
+                                   never ? peer_failure::never_processed : peer_failure::lost});
+                return;
+            }
+            absl::StatusOr<call_reply> reply = decode_reply(std::get<std::string>(result));
+            if (!reply.ok()) {
+                handle(peer_failed{call, attempt, peer_failure::lost});
+                return;
+            }
+            handle(peer_reply{call, attempt, std::move(*reply)});
+        });
+    attempts_[{call, attempt}] = request;
+}
+
+void traffic_runtime::carry_out(const cancel_call& action)
+{
+    const auto found = attempts_.find({action.call, action.attempt});
+    if (found != attempts_.end()) {
+        peers_.cancel(found->second);
+        attempts_.erase(found);
+    }
+}
+
+void traffic_runtime::carry_out(const dispatch_call& action)
+{
+    target_request request;
+    request.address = target_address_;
+    request.request = action.request;
+    request.extra_headers = {{call_header, action.token}};
+    request.may_repeat = action.may_repeat;
+    const inbound_id call = action.call;
+    target_.send(call.value(), request, [this, call](target_result result) {
+        if (auto* answer = std::get_if<http_answer>(&result)) {
+            handle(target_answered{call, std::move(*answer)});
+            return;
+        }
+        handle(target_failed{call, std::get<target_failure>(result)});
+    });
+}
+
+void traffic_runtime::carry_out(const cancel_dispatch& action)
+{
+    target_.cancel(action.call.value());
+}
+
+void traffic_runtime::carry_out(const reply_call& action)
+{
+    if (const auto* stream = std::get_if<exchange_id>(&action.to)) {
+        server_.respond(peer_stream_id(stream->value()),
+                        {encode_reply_head(action.reply), action.reply.answer.body});
+    }
+}
+
+} // namespace fescuedyke
--- a/lib/node/inbound_calls.cpp
+++ b/lib/node/inbound_calls.cpp
@@ -152,7 +152,7 @@
 {
     call.at = inbound_call::stage::running;
     call.dispatched = now;
-    actions_.emplace_back(dispatch_call{call.id, call.request, call_token(call.id)});
+    actions_.emplace_back(dispatch_call{call.id, call.request, call_token(call.id), call.context.idempotent});
 }
 
 load_report inbound_calls::load(flow_id flow, instant now) const
--- a/lib/node/node_core.cpp
+++ b/lib/node/node_core.cpp
@@ -127,6 +127,10 @@
 
 void node_core::on(const target_announced& event, moment at)
 {
+    if (inbound_.draining()) {
+        // What was given up on leaving may be another's by now: this instance starts anew.
+        owned_.renew(incarnation(owned_.self_incarnation().value() + 1));
+    }
     inbound_.on_announced(event, at);
 }
 
@@ -151,6 +155,7 @@
 {
     (void)at;
     outbound_.on_policies(event.policies);
+    configured_ = true;
     policies_version_ = std::max(policies_version_, event.policies->version());
 }
 
--- a/lib/once/once.cpp
+++ b/lib/once/once.cpp
@@ -58,14 +58,10 @@
     for (const auto& [home, grants] : table.homes) {
         for (std::uint32_t i = 0; i < buckets_per_home; ++i) {
             const bucket_grant& grant = grants[i];
-            if (grant.owner != self_ || grant.owner_incarnation != self_incarnation_) {
+            if (released_ || grant.owner != self_ || grant.owner_incarnation != self_incarnation_) {
                 continue;
             }
             const hold_key key{home, bucket_index(i)};
-            const auto released = released_.find(key);
-            if (released != released_.end() && grant.epoch <= released->second) {
-                continue;
-            }
             const auto known = holds_.find(key);
             const bool same = known != holds_.end() && known->second.epoch == grant.epoch;
             holds[key] = same ? known->second : bucket_hold{grant.epoch, grant.epoch == 1, seen};
@@ -84,9 +80,15 @@
 
 void ownership::release_all()
 {
-    for (const auto& [key, hold] : holds_) {
-        released_[key] = hold.epoch;
-    }
+    released_ = true;
+    holds_.clear();
+}
+
+void ownership::renew(incarnation next)
+{
+    self_incarnation_ = next;
+    released_ = false;
+    lease_until_ = instant();
     holds_.clear();
 }
 
--- /dev/null
+++ b/lib/settings/process_settings.cpp
@@ -0,0 +1,172 @@
+#include "fescuedyke/settings/process_settings.h"
+
+#include "fescuedyke/policy/yaml_reader.h"
+
+#include <algorithm>
+#include <arpa/inet.h>
+#include <charconv>
+#include <fstream>
+#include <set>
+#include <sstream>
+
+namespace fescuedyke {
+
+namespace {
+
+constexpr std::size_t most_members = 7;
+constexpr std::uint64_t most_memory = 16ULL << 30U;
+
+void read_endpoint(yaml_mapping& from, const std::string& key, endpoint& to)
+{
+    const std::string text = from.required_text(key);
+    if (text.empty()) {
+        return;
+    }
+    const absl::StatusOr<endpoint> parsed = parse_endpoint(text);
+    if (!parsed.ok()) {
+        from.fault(key, std::string(parsed.status().message()));
+        return;
+    }
+    to = *parsed;
+}
+
+void read_members(yaml_mapping& control, yaml_faults& faults, process_settings& settings)
+{
+    std::set<std::string> names;
+    for (const YAML::Node& node : control.items("members")) {
+        yaml_mapping item(node, "control.members", faults);
+        member_address m;
+        m.name = item.required_text("name");
+        read_endpoint(item, "control", m.control);
+        read_endpoint(item, "api", m.api);
+        item.reject_unknown_keys();
+        if (!names.insert(m.name).second) {
+            item.fault("name", "is given twice");
+        }
+        settings.members.push_back(std::move(m));
+    }
+    const std::size_t count = settings.members.size();
+    if (count == 0 || count > most_members || count % 2 == 0) {
+        control.fault("members", "must list 1, 3, 5 or 7 members");
+    }
+}
+
+void read_control(yaml_mapping control, yaml_faults& faults, process_settings& settings)
+{
+    read_members(control, faults, settings);
+    settings.is_member = control.boolean("member", false);
+    settings.data = control.text("data", "");
+    if (settings.is_member && settings.data.empty()) {
+        control.fault("data", "is missing; a member keeps its files there");
+    }
+    const bool listed =
+        std::any_of(settings.members.begin(), settings.members.end(),
+                    [&](const auto& m) { return m.name == settings.instance.value(); });
+    if (settings.is_member && !listed) {
+        control.fault("members", "must list this instance, since control.member is true");
+    }
+    control.reject_unknown_keys();
+}
+
+void read_operators(yaml_mapping& document, yaml_faults& faults, process_settings& settings)
+{
+    for (const YAML::Node& node : document.items("operators")) {
+        yaml_mapping item(node, "operators", faults);
+        operator_entry entry;
+        entry.name = item.required_text("name");
+        entry.token = item.required_text("token");
+        entry.owners = item.texts("owners");
+        if (entry.owners.empty()) {
+            item.fault("owners", "must list at least one owner");
+        }
+        item.reject_unknown_keys();
+        settings.operators.push_back(std::move(entry));
+    }
+}
+
+void read_limits(yaml_mapping limits, process_settings& settings)
+{
+    settings.memory_bytes = limits.bytes("memory", settings.memory_bytes, most_memory);
+    settings.region_bytes_per_second =
+        limits.bytes("region_bytes_per_second", settings.region_bytes_per_second, most_memory);
+    settings.subset = static_cast<std::size_t>(limits.integer("subset", 8, 1, 1000));
+    settings.drain_limit =
+        limits.duration("drain", settings.drain_limit, millis(0), millis(10 * 60 * 1000));
+    settings.http_threads = static_cast<int>(limits.integer("http_threads", 2, 1, 64));
+    limits.reject_unknown_keys();
+}
+
+void read_log(yaml_mapping log, process_settings& settings)
+{
+    static constexpr const char* levels[] = {"debug", "info", "warning", "error"};
+    settings.log_level = log.text("level", settings.log_level);
+    const bool known = std::any_of(std::begin(levels), std::end(levels),
+                                   [&](const char* l) { return settings.log_level == l; });
+    if (!known) {
+        log.fault("level", "must be debug, info, warning or error");
+    }
+    log.reject_unknown_keys();
+}
+
+} // namespace
+
+absl::StatusOr<endpoint> parse_endpoint(const std::string& text)
+{
+    const auto colon = text.rfind(':');
+    const std::string host = text.substr(0, colon);
+    const std::string port = colon == std::string::npos ? "" : text.substr(colon + 1);
+    in_addr address{};
+    std::uint16_t number = 0;
+    const auto parsed = std::from_chars(port.data(), port.data() + port.size(), number);
+    const bool whole = parsed.ec == std::errc() && parsed.ptr == port.data() + port.size();
+    if (::inet_pton(AF_INET, host.c_str(), &address) != 1 || !whole || number == 0) {
+        return absl::InvalidArgumentError("must be an IP number and a port, such as 10.0.0.1:7100");
+    }
+    return endpoint{host, number};
+}
+
+std::string to_string(const endpoint& address)
+{
+    return address.host + ":" + std::to_string(address.port);
+}
+
+absl::StatusOr<process_settings> parse_settings(const std::string& yaml)
+{
+    absl::StatusOr<YAML::Node> root = load_yaml_mapping(yaml);
+    if (!root.ok()) {
+        return root.status();
+    }
+    yaml_faults faults;
+    yaml_mapping document(*root, "", faults);
+    process_settings settings;
+    settings.instance = instance_id(document.required_text("instance"));
+    settings.owner = owner_name(document.required_text("owner"));
+    settings.place.region = region_name(document.required_text("region"));
+    settings.place.zone = zone_name(document.required_text("zone"));
+    yaml_mapping listen = document.child("listen");
+    read_endpoint(listen, "http", settings.http);
+    read_endpoint(listen, "peer", settings.peer);
+    listen.reject_unknown_keys();
+    read_control(document.child("control"), faults, settings);
+    read_operators(document, faults, settings);
+    read_limits(document.child("limits"), settings);
+    read_log(document.child("log"), settings);
+    document.reject_unknown_keys();
+    if (!faults.empty()) {
+        return faults.status();
+    }
+    return settings;
+}
+
+absl::StatusOr<process_settings> load_settings(const std::string& path)
+{
+    std::ifstream file(path);
+    if (!file) {
+        return absl::NotFoundError(path + ": cannot be read");
+    }
+    std::stringstream content;
+    content << file.rdbuf();
+    return parse_settings(content.str());
+}
+
+} // namespace fescuedyke
--- /dev/null
+++ b/lib/subscription/config_subscriber.cpp
@@ -0,0 +1,215 @@
+#include "fescuedyke/subscription/config_subscriber.h"
+
+#include <algorithm>
+#include <utility>
+
+namespace fescuedyke {
+
+config_subscriber::config_subscriber(const subscriber_settings& settings,
+                                     std::vector<member_seed> seeds)
+    : settings_(settings)
+{
+    for (member_seed& seed : seeds) {
+        members_[seed.name].address = std::move(seed.address);
+    }
+}
+
+void config_subscriber::on_record(const node_record& record, bool wants_lease)
+{
+    record_changed_ = record_changed_ || is_later(record, record_);
+    record_ = record;
+    wants_lease_ = wants_lease;
+}
+
+bool config_subscriber::is_good(const member_standing& m, instant now) const
+{
+    return now >= m.avoid_until;
+}
+
+std::vector<std::string> config_subscriber::chosen(instant now) const
+{
+    std::vector<std::string> names;
+    for (const auto& [name, m] : members_) {
+        names.push_back(name);
+    }
+    const auto order = [&](const std::string& name) {
+        const member_standing& m = members_.at(name);
+        return std::make_tuple(!is_good(m, now), name != leader_, m.round_trip, m.last_reply);
+    };
+    std::stable_sort(names.begin(), names.end(), [&](const std::string& a, const std::string& b) {
+        return order(a) < order(b);
+    });
+    names.resize(std::min(names.size(), settings_.members_at_once));
+    return names;
+}
+
+void config_subscriber::avoid(const std::string& member, instant now)
+{
+    const auto found = members_.find(member);
+    if (found == members_.end()) {
+        return;
+    }
+    found->second.avoid_until = now + settings_.avoid;
+    // What it told is not relied on while others tell more; with no other it is all there is.
+    const bool others = std::any_of(members_.begin(), members_.end(), [&](const auto& m) {
+        return m.first != member && m.second.replied && is_good(m.second, now);
+    });
+    if (others) {
+        view_.drop(member);
+    }
+}
+
+subscriber_output config_subscriber::tick(instant now)
+{
+    subscriber_output output;
+    std::vector<std::uint64_t> late;
+    for (const auto& [number, p] : open_) {
+        if (now - p.sent > settings_.poll_timeout) {
+            late.push_back(number);
+        }
+    }
+    for (const std::uint64_t number : late) {
+        on_failed(number, now);
+    }
+    const bool due = !polled_ || now - last_round_ >= settings_.poll_period;
+    if (!due && !record_changed_) {
+        return output;
+    }
+    polled_ = true;
+    last_round_ = now;
+    record_changed_ = false;
+    for (const std::string& name : chosen(now)) {
+        const bool busy = std::any_of(open_.begin(), open_.end(),
+                                      [&](const auto& p) { return p.second.member == name; });
+        if (busy) {
+            record_changed_ = due ? record_changed_ : true;
+            continue;
+        }
+        outgoing_poll p;
+        p.number = next_number_++;
+        p.address = members_[name].address;
+        p.poll = {record_, version_, owners_.version, view_.known_epoch(name),
+                  view_.known_version(name), wants_lease_};
+        open_[p.number] = {name, now};
+        output.polls.push_back(std::move(p));
+    }
+    return output;
+}
+
+void config_subscriber::on_failed(std::uint64_t number, instant now)
+{
+    const auto found = open_.find(number);
+    if (found == open_.end()) {
+        return;
+    }
+    const std::string member = found->second.member;
+    open_.erase(found);
+    avoid(member, now);
+}
+
+void config_subscriber::note_members(const poll_reply& reply)
+{
+    if (!reply.leader.empty()) {
+        leader_ = reply.leader;
+    }
+    for (const member_entry& m : reply.members) {
+        if (!m.address.host.empty()) {
+            members_[m.id.name].address = m.address;
+        }
+    }
+}
+
+subscriber_output config_subscriber::on_reply(std::uint64_t number, const poll_reply& reply,
+                                              instant now)
+{
+    subscriber_output output;
+    const auto found = open_.find(number);
+    if (found == open_.end()) {
+        return output;
+    }
+    const open_poll asked = found->second;
+    open_.erase(found);
+    member_standing& m = members_[asked.member];
+    m.replied = true;
+    m.last_reply = now;
+    m.beacon_age = reply.beacon_age;
+    m.round_trip = now - asked.sent;
+    if (reply.beacon_age > settings_.beacon_limit) {
+        avoid(asked.member, now);
+        // Versions only go upwards, so that what an old member tells can be taken, but it does not
+        // make the node's configuration fresh.
+        take_policies(reply, output);
+        return output;
+    }
+    note_members(reply);
+    fresh_at_ = now;
+    ever_fresh_ = true;
+    take_policies(reply, output);
+    take_owners(reply, output);
+    take_view(reply, output);
+    if (reply.lease) {
+        output.events.emplace_back(
+            lease_renewed{asked.sent + *reply.lease, reply.owners_version});
+    }
+    return output;
+}
+
+void config_subscriber::take_policies(const poll_reply& reply, subscriber_output& output)
+{
+    for (const policy_record& record : reply.policies) {
+        const std::string key = policy_key(record.owner, record.name);
+        policy_record& held = records_[key];
+        if (record.changed_in <= held.changed_in) {
+            continue;
+        }
+        held = record;
+        policies_.erase(key);
+        if (record.removed) {
+            continue;
+        }
+        // Members accept only what parses; a policy that a later program wrote may not here.
+        if (absl::StatusOr<policy> parsed = parse_policy(record.yaml); parsed.ok()) {
+            policies_[key] = std::move(*parsed);
+        }
+    }
+    const bool newer = reply.version > version_;
+    version_ = std::max(version_, reply.version);
+    if (ever_fresh_ && (newer || !told_policies_)) {
+        told_policies_ = true;
+        output.events.emplace_back(
+            policies_in_force{std::make_shared<policy_set>(version_, policies_)});
+    }
+}
+
+void config_subscriber::take_owners(const poll_reply& reply, subscriber_output& output)
+{
+    if (reply.owners_version <= owners_.version) {
+        return;
+    }
+    for (const auto& [home, grants] : reply.owners) {
+        bucket_grants& held = owners_.homes[home];
+        for (const auto& [bucket, grant] : grants) {
+            if (bucket < buckets_per_home && grant.changed_in > held[bucket].changed_in) {
+                held[bucket] = grant;
+            }
+        }
+    }
+    owners_.version = reply.owners_version;
+    output.events.emplace_back(owners_in_force{std::make_shared<bucket_table>(owners_)});
+}
+
+void config_subscriber::take_view(const poll_reply& reply, subscriber_output& output)
+{
+    view_.on_delta(reply.member, reply.view);
+    if (view_.changed()) {
+        output.events.emplace_back(
+            targets_in_view{std::make_shared<target_view>(view_.build())});
+    }
+}
+
+bool config_subscriber::is_fresh(instant now) const
+{
+    return ever_fresh_ && now - fresh_at_ <= settings_.beacon_limit * 2;
+}
+
+} // namespace fescuedyke
--- /dev/null
+++ b/lib/transport/event_loop.cpp
@@ -0,0 +1,148 @@
+#include "fescuedyke/transport/event_loop.h"
+
+#include <algorithm>
+#include <array>
+#include <cassert>
+#include <sys/epoll.h>
+#include <sys/eventfd.h>
+#include <unistd.h>
+#include <utility>
+
+namespace fescuedyke {
+
+namespace {
+
+constexpr int most_events = 64;
+constexpr int longest_wait_ms = 1000;
+
+} // namespace
+
+event_loop::event_loop(const clock& time)
+    : time_(time), epoll_fd_(::epoll_create1(EPOLL_CLOEXEC)),
+      wake_fd_(::eventfd(0, EFD_NONBLOCK | EFD_CLOEXEC))
+{
+    assert(epoll_fd_ >= 0 && wake_fd_ >= 0 && "a process can open two descriptors");
+    watch(wake_fd_, EPOLLIN, [this](std::uint32_t) {
+        std::uint64_t count = 0;
+        while (::read(wake_fd_, &count, sizeof count) > 0) {
+        }
+    });
+}
+
+event_loop::~event_loop()
+{
+    ::close(wake_fd_);
+    ::close(epoll_fd_);
+}
+
+void event_loop::post(task work)
+{
+    {
+        const std::lock_guard<std::mutex> lock(mutex_);
+        posted_.push_back(std::move(work));
+    }
+    const std::uint64_t one = 1;
+    const ssize_t written = ::write(wake_fd_, &one, sizeof one);
+    (void)written;
+}
+
+void event_loop::stop()
+{
+    stopped_ = true;
+    post([] {});
+}
+
+void event_loop::watch(int fd, std::uint32_t events, socket_handler handler)
+{
+    const bool known = sockets_.count(fd) != 0;
+    sockets_[fd] = std::make_shared<socket_handler>(std::move(handler));
+    epoll_event event{};
+    event.events = events;
+    event.data.fd = fd;
+    ::epoll_ctl(epoll_fd_, known ? EPOLL_CTL_MOD : EPOLL_CTL_ADD, fd, &event);
+}
+
+void event_loop::rewatch(int fd, std::uint32_t events)
+{
+    epoll_event event{};
+    event.events = events;
+    event.data.fd = fd;
+    ::epoll_ctl(epoll_fd_, EPOLL_CTL_MOD, fd, &event);
+}
+
+void event_loop::unwatch(int fd)
+{
+    if (sockets_.erase(fd) > 0) {
+        ::epoll_ctl(epoll_fd_, EPOLL_CTL_DEL, fd, nullptr);
+    }
+}
+
+timer_id event_loop::after(millis delay, task work)
+{
+    const timer_id id(next_timer_++);
+    const instant due = now().now + delay;
+    timers_.emplace(std::make_pair(due, id.value()), std::move(work));
+    timer_times_[id.value()] = due;
+    return id;
+}
+
+void event_loop::cancel(timer_id timer)
+{
+    const auto found = timer_times_.find(timer.value());
+    if (found != timer_times_.end()) {
+        timers_.erase({found->second, timer.value()});
+        timer_times_.erase(found);
+    }
+}
+
+void event_loop::run_posted()
+{
+    std::vector<task> work;
+    {
+        const std::lock_guard<std::mutex> lock(mutex_);
+        work.swap(posted_);
+    }
+    for (task& t : work) {
+        t();
+    }
+}
+
+void event_loop::run_timers()
+{
+    const instant present = now().now;
+    while (!timers_.empty() && timers_.begin()->first.first <= present) {
+        const task work = std::move(timers_.begin()->second);
+        timer_times_.erase(timers_.begin()->first.second);
+        timers_.erase(timers_.begin());
+        work();
+    }
+}
+
+int event_loop::wait_time() const
+{
+    if (timers_.empty()) {
+        return longest_wait_ms;
+    }
+    const std::int64_t until = (timers_.begin()->first.first - now().now).count();
+    return static_cast<int>(std::clamp<std::int64_t>(until, 0, longest_wait_ms));
+}
+
+void event_loop::run()
+{
+    std::array<epoll_event, most_events> events{};
+    while (!stopped_) {
+        const int ready = ::epoll_wait(epoll_fd_, events.data(), most_events, wait_time());
+        for (int i = 0; i < ready; ++i) {
+            const auto found = sockets_.find(events[static_cast<std::size_t>(i)].data.fd);
+            if (found != sockets_.end()) {
+                // The handler may unwatch its own socket while it runs.
+                const std::shared_ptr<socket_handler> handler = found->second;
+                (*handler)(events[static_cast<std::size_t>(i)].events);
+            }
+        }
+        run_posted();
+        run_timers();
+    }
+}
+
+} // namespace fescuedyke
--- /dev/null
+++ b/lib/transport/h2_connection.cpp
@@ -0,0 +1,481 @@
+#include "fescuedyke/transport/h2_connection.h"
+
+#include <algorithm>
+#include <arpa/inet.h>
+#include <array>
+#include <cassert>
+#include <cerrno>
+#include <cstring>
+#include <netinet/in.h>
+#include <netinet/tcp.h>
+#include <sys/epoll.h>
+#include <sys/socket.h>
+#include <unistd.h>
+#include <utility>
+#include <vector>
+
+namespace fescuedyke {
+
+namespace {
+
+constexpr std::uint32_t most_streams = 20'000;
+constexpr std::int32_t stream_window_bytes = 1 << 20;
+constexpr std::int32_t connection_window_bytes = 16 << 20;
+constexpr std::size_t read_bytes = 64U << 10U;
+
+/// Most bytes taken from the session before the socket is written.
+constexpr std::size_t write_bytes = 256U << 10U;
+
+/// Unacknowledged data closes a connection after this, so that a silent cut is noticed.
+constexpr unsigned user_timeout_ms = 5000;
+
+nghttp2_nv make_nv(const char* name, const std::string& value)
+{
+    nghttp2_nv nv{};
+    nv.name = reinterpret_cast<std::uint8_t*>(const_cast<char*>(name));
+    nv.namelen = std::strlen(name);
+    nv.value = reinterpret_cast<std::uint8_t*>(const_cast<char*>(value.data()));
+    nv.valuelen = value.size();
+    return nv;
+}
+
+bool make_address(const endpoint& address, sockaddr_in& out)
+{
+    out = {};
+    out.sin_family = AF_INET;
+    out.sin_port = htons(address.port);
+    return ::inet_pton(AF_INET, address.host.c_str(), &out.sin_addr) == 1;
+}
+
+void set_options(int fd)
+{
+    const int on = 1;
+    ::setsockopt(fd, IPPROTO_TCP, TCP_NODELAY, &on, sizeof on);
+    ::setsockopt(fd, IPPROTO_TCP, TCP_USER_TIMEOUT, &user_timeout_ms, sizeof user_timeout_ms);
+}
+
+h2_connection* self_of(void* self)
+{
+    return static_cast<h2_connection*>(self);
+}
+
+} // namespace
+
+absl::Status listen_on(const endpoint& address, int& fd)
+{
+    sockaddr_in a{};
+    if (!make_address(address, a)) {
+        return absl::InvalidArgumentError("listen: '" + address.host + "' is not an IP number");
+    }
+    fd = ::socket(AF_INET, SOCK_STREAM | SOCK_NONBLOCK | SOCK_CLOEXEC, 0);
+    const int on = 1;
+    ::setsockopt(fd, SOL_SOCKET, SO_REUSEADDR, &on, sizeof on);
+    const bool bound = ::bind(fd, reinterpret_cast<sockaddr*>(&a), sizeof a) == 0;
+    if (!bound || ::listen(fd, SOMAXCONN) != 0) {
+        ::close(fd);
+        fd = -1;
+        return absl::UnavailableError("listen: " + address.host + ":" +
+                                      std::to_string(address.port) + ": " + std::strerror(errno));
+    }
+    return absl::OkStatus();
+}
+
+int start_connect(const endpoint& address)
+{
+    sockaddr_in a{};
+    if (!make_address(address, a)) {
+        return -1;
+    }
+    const int fd = ::socket(AF_INET, SOCK_STREAM | SOCK_NONBLOCK | SOCK_CLOEXEC, 0);
+    if (fd < 0) {
+        return -1;
+    }
+    set_options(fd);
+    if (::connect(fd, reinterpret_cast<sockaddr*>(&a), sizeof a) != 0 && errno != EINPROGRESS) {
+        ::close(fd);
+        return -1;
+    }
+    return fd;
+}
+
+h2_connection::h2_connection(event_loop& loop, int fd, side which, h2_events& events)
+    : loop_(loop), fd_(fd), side_(which), events_(events), alive_(std::make_shared<bool>(true))
+{
+    set_options(fd);
+    make_session();
+    loop_.watch(fd_, EPOLLIN | EPOLLOUT, [this](std::uint32_t ready) { on_ready(ready); });
+}
+
+h2_connection::~h2_connection()
+{
+    *alive_ = false;
+    if (fd_ >= 0) {
+        loop_.unwatch(fd_);
+        ::close(fd_);
+    }
+    nghttp2_session_del(session_);
+}
+
+void h2_connection::make_session()
+{
+    nghttp2_session_callbacks* callbacks = nullptr;
+    nghttp2_session_callbacks_new(&callbacks);
+    nghttp2_session_callbacks_set_on_begin_headers_callback(callbacks, on_begin_headers);
+    nghttp2_session_callbacks_set_on_header_callback(callbacks, on_header);
+    nghttp2_session_callbacks_set_on_data_chunk_recv_callback(callbacks, on_data);
+    nghttp2_session_callbacks_set_on_frame_recv_callback(callbacks, on_frame);
+    nghttp2_session_callbacks_set_on_stream_close_callback(callbacks, on_stream_close);
+    if (side_ == side::client) {
+        nghttp2_session_client_new(&session_, callbacks, this);
+    }
+    else {
+        nghttp2_session_server_new(&session_, callbacks, this);
+    }
+    nghttp2_session_callbacks_del(callbacks);
+    const std::array<nghttp2_settings_entry, 2> settings = {
+        {{NGHTTP2_SETTINGS_MAX_CONCURRENT_STREAMS, most_streams},
+         {NGHTTP2_SETTINGS_INITIAL_WINDOW_SIZE, stream_window_bytes}}};
+    nghttp2_submit_settings(session_, NGHTTP2_FLAG_NONE, settings.data(), settings.size());
+    nghttp2_session_set_local_window_size(session_, NGHTTP2_FLAG_NONE, 0, connection_window_bytes);
+}
+
+nghttp2_data_provider h2_connection::provider()
+{
+    nghttp2_data_provider p{};
+    p.source.ptr = this;
+    p.read_callback = read_body;
+    return p;
+}
+
+std::int32_t h2_connection::request(const std::string& path, frame body)
+{
+    if (closed_) {
+        return -1;
+    }
+    const std::string length = std::to_string(body.size());
+    const std::string post = "POST";
+    const std::string scheme = "http";
+    const std::string authority = "node";
+    const std::array<nghttp2_nv, 5> headers = {
+        make_nv(":method", post), make_nv(":scheme", scheme), make_nv(":authority", authority),
+        make_nv(":path", path), make_nv("content-length", length)};
+    const nghttp2_data_provider p = provider();
+    const std::int32_t stream =
+        nghttp2_submit_request(session_, nullptr, headers.data(), headers.size(), &p, nullptr);
+    if (stream < 0) {
+        return -1;
+    }
+    streams_[stream].sending = std::move(body);
+    schedule_flush();
+    return stream;
+}
+
+void h2_connection::respond(std::int32_t stream, frame body)
+{
+    const auto found = streams_.find(stream);
+    if (closed_ || found == streams_.end()) {
+        return;
+    }
+    const std::string ok = "200";
+    const std::string length = std::to_string(body.size());
+    const std::array<nghttp2_nv, 2> headers = {make_nv(":status", ok),
+                                               make_nv("content-length", length)};
+    found->second.sending = std::move(body);
+    const nghttp2_data_provider p = provider();
+    nghttp2_submit_response(session_, stream, headers.data(), headers.size(), &p);
+    schedule_flush();
+}
+
+void h2_connection::reset(std::int32_t stream, std::uint32_t error_code)
+{
+    if (!closed_) {
+        nghttp2_submit_rst_stream(session_, NGHTTP2_FLAG_NONE, stream, error_code);
+        schedule_flush();
+    }
+}
+
+void h2_connection::shut_down()
+{
+    if (!closed_) {
+        const std::int32_t last = nghttp2_session_get_last_proc_stream_id(session_);
+        nghttp2_submit_goaway(session_, NGHTTP2_FLAG_NONE, last, NGHTTP2_NO_ERROR, nullptr, 0);
+        schedule_flush();
+    }
+}
+
+ssize_t h2_connection::read_body(nghttp2_session* session, std::int32_t stream,
+                                 std::uint8_t* buffer, std::size_t length, std::uint32_t* flags,
+                                 nghttp2_data_source* source, void* self)
+{
+    (void)session;
+    (void)source;
+    auto& streams = self_of(self)->streams_;
+    const auto found = streams.find(stream);
+    if (found == streams.end()) {
+        return NGHTTP2_ERR_TEMPORAL_CALLBACK_FAILURE;
+    }
+    stream_state& s = found->second;
+    const std::size_t total = s.sending.size();
+    const std::size_t head = s.sending.head.size();
+    const bool in_head = s.sent < head;
+    const std::string& part = in_head || !s.sending.body ? s.sending.head : *s.sending.body;
+    const std::size_t from = in_head ? s.sent : s.sent - head;
+    const std::size_t count = std::min(length, s.sent < total ? part.size() - from : 0);
+    std::memcpy(buffer, part.data() + from, count);
+    s.sent += count;
+    if (s.sent == total) {
+        *flags |= NGHTTP2_DATA_FLAG_EOF;
+    }
+    return static_cast<ssize_t>(count);
+}
+
+int h2_connection::on_begin_headers(nghttp2_session* session, const nghttp2_frame* frame,
+                                    void* self)
+{
+    (void)session;
+    const bool is_request =
+        frame->hd.type == NGHTTP2_HEADERS && frame->headers.cat == NGHTTP2_HCAT_REQUEST;
+    if (is_request) {
+        self_of(self)->streams_[frame->hd.stream_id];
+    }
+    return 0;
+}
+
+int h2_connection::on_header(nghttp2_session* session, const nghttp2_frame* frame,
+                             const std::uint8_t* name, std::size_t name_length,
+                             const std::uint8_t* value, std::size_t value_length,
+                             std::uint8_t flags, void* self)
+{
+    (void)session;
+    (void)flags;
+    self_of(self)->take_header(frame->hd.stream_id,
+                               {reinterpret_cast<const char*>(name), name_length},
+                               {reinterpret_cast<const char*>(value), value_length});
+    return 0;
+}
+
+void h2_connection::take_header(std::int32_t stream, const std::string& name,
+                                const std::string& value)
+{
+    const auto found = streams_.find(stream);
+    if (found == streams_.end()) {
+        return;
+    }
+    if (name == ":path") {
+        found->second.path = value;
+    }
+    if (name == "content-length") {
+        // nghttp2 checks that it is a number and that the body keeps to it.
+        const std::uint64_t bytes = std::strtoull(value.c_str(), nullptr, 10);
+        if (side_ == side::server && !events_.may_take(bytes)) {
+            found->second.refused = true;
+            reset(stream, NGHTTP2_REFUSED_STREAM);
+            return;
+        }
+        found->second.received.reserve(bytes);
+    }
+}
+
+int h2_connection::on_data(nghttp2_session* session, std::uint8_t flags, std::int32_t stream,
+                           const std::uint8_t* data, std::size_t length, void* self)
+{
+    (void)session;
+    (void)flags;
+    auto& streams = self_of(self)->streams_;
+    const auto found = streams.find(stream);
+    if (found != streams.end() && !found->second.refused) {
+        found->second.received.append(reinterpret_cast<const char*>(data), length);
+    }
+    return 0;
+}
+
+int h2_connection::on_frame(nghttp2_session* session, const nghttp2_frame* frame, void* self)
+{
+    (void)session;
+    const bool carries = frame->hd.type == NGHTTP2_DATA || frame->hd.type == NGHTTP2_HEADERS;
+    if (carries && (frame->hd.flags & NGHTTP2_FLAG_END_STREAM) != 0) {
+        self_of(self)->finish(frame->hd.stream_id);
+    }
+    return 0;
+}
+
+void h2_connection::finish(std::int32_t stream)
+{
+    const auto found = streams_.find(stream);
+    if (found == streams_.end() || found->second.complete || found->second.refused) {
+        return;
+    }
+    found->second.complete = true;
+    std::string body = std::move(found->second.received);
+    if (side_ == side::server) {
+        events_.on_request(stream, found->second.path, std::move(body));
+    }
+    else {
+        events_.on_response(stream, std::move(body));
+    }
+}
+
+int h2_connection::on_stream_close(nghttp2_session* session, std::int32_t stream,
+                                   std::uint32_t error_code, void* self)
+{
+    (void)session;
+    h2_connection& c = *self_of(self);
+    const auto found = c.streams_.find(stream);
+    if (found == c.streams_.end()) {
+        return 0;
+    }
+    const stream_state state = std::move(found->second);
+    c.streams_.erase(found);
+    if (c.side_ == side::server) {
+        const bool given_up = state.complete && error_code != NGHTTP2_NO_ERROR;
+        if (given_up) {
+            c.events_.on_request_gone(stream);
+        }
+        return 0;
+    }
+    if (!state.complete) {
+        // nghttp2 closes with REFUSED_STREAM also what lies above the last stream of a GOAWAY.
+        const bool refused = error_code == NGHTTP2_REFUSED_STREAM;
+        c.events_.on_failure(stream,
+                             refused ? stream_failure::never_processed : stream_failure::lost);
+    }
+    return 0;
+}
+
+void h2_connection::on_ready(std::uint32_t events)
+{
+    if ((events & (EPOLLERR | EPOLLHUP)) != 0 && !connected_) {
+        close();
+        return;
+    }
+    connected_ = true;
+    if ((events & EPOLLIN) != 0 && !read_socket()) {
+        close();
+        return;
+    }
+    flush();
+}
+
+bool h2_connection::read_socket()
+{
+    std::vector<std::uint8_t> buffer(read_bytes);
+    for (;;) {
+        const ssize_t got = ::recv(fd_, buffer.data(), buffer.size(), 0);
+        if (got < 0) {
+            return errno == EAGAIN || errno == EINTR;
+        }
+        if (got == 0) {
+            return false;
+        }
+        const auto count = static_cast<std::size_t>(got);
+        if (nghttp2_session_mem_recv(session_, buffer.data(), count) < 0) {
+            return false;
+        }
+        if (count < buffer.size()) {
+            return true;
+        }
+    }
+}
+
+bool h2_connection::write_socket()
+{
+    for (;;) {
+        while (unsent_.size() - unsent_from_ < write_bytes) {
+            const std::uint8_t* data = nullptr;
+            const ssize_t length = nghttp2_session_mem_send(session_, &data);
+            if (length < 0) {
+                return false;
+            }
+            if (length == 0) {
+                break;
+            }
+            unsent_.append(reinterpret_cast<const char*>(data), static_cast<std::size_t>(length));
+        }
+        if (unsent_from_ == unsent_.size()) {
+            unsent_.clear();
+            unsent_from_ = 0;
+            return true;
+        }
+        const ssize_t sent = ::send(fd_, unsent_.data() + unsent_from_,
+                                    unsent_.size() - unsent_from_, MSG_NOSIGNAL);
+        if (sent < 0) {
+            return errno == EAGAIN || errno == EINTR;
+        }
+        unsent_from_ += static_cast<std::size_t>(sent);
+        if (unsent_from_ == unsent_.size()) {
+            unsent_.clear();
+            unsent_from_ = 0;
+        }
+    }
+}
+
+void h2_connection::flush()
+{
+    if (closed_ || !connected_) {
+        return;
+    }
+    if (!write_socket()) {
+        close();
+        return;
+    }
+    const bool done = nghttp2_session_want_read(session_) == 0 &&
+                      nghttp2_session_want_write(session_) == 0 && unsent_.empty();
+    if (done) {
+        close();
+        return;
+    }
+    const bool want = !unsent_.empty();
+    if (want != writes_watched_) {
+        writes_watched_ = want;
+        loop_.rewatch(fd_, want ? EPOLLIN | EPOLLOUT : EPOLLIN);
+    }
+}
+
+void h2_connection::schedule_flush()
+{
+    if (flushing_) {
+        return;
+    }
+    flushing_ = true;
+    // Frames of one turn of the loop go out together; callbacks of nghttp2 must not send.
+    loop_.post([this, alive = alive_] {
+        if (*alive) {
+            flushing_ = false;
+            flush();
+        }
+    });
+}
+
+void h2_connection::close()
+{
+    if (closed_) {
+        return;
+    }
+    closed_ = true;
+    loop_.unwatch(fd_);
+    ::close(fd_);
+    fd_ = -1;
+    fail_all();
+    events_.on_closed();
+}
+
+void h2_connection::fail_all()
+{
+    const std::map<std::int32_t, stream_state> open = std::exchange(streams_, {});
+    for (const auto& [stream, state] : open) {
+        if (side_ == side::server) {
+            if (state.complete) {
+                events_.on_request_gone(stream);
+            }
+            continue;
+        }
+        if (!state.complete) {
+            // The other side acts on whole requests only, so that nothing of a connection that was
+            // never made can have been processed.
+            events_.on_failure(stream, connected_ ? stream_failure::lost
+                                                  : stream_failure::never_processed);
+        }
+    }
+}
+
+} // namespace fescuedyke
--- /dev/null
+++ b/lib/transport/peer_client.cpp
@@ -0,0 +1,146 @@
+#include "fescuedyke/transport/peer_client.h"
+
+#include <algorithm>
+#include <utility>
+
+namespace fescuedyke {
+
+/// One connection with the requests that are open on it.
+class peer_client::link final : public h2_events {
+public:
+    link(event_loop& loop, int fd) : connection_(loop, fd, h2_connection::side::client, *this) {}
+
+    bool send(peer_request_id id, const std::string& path, frame body, callback done)
+    {
+        const std::int32_t stream = connection_.request(path, std::move(body));
+        if (stream < 0) {
+            return false;
+        }
+        open_[stream] = {id, std::move(done)};
+        streams_[id] = stream;
+        return true;
+    }
+
+    void cancel(peer_request_id id)
+    {
+        const auto found = streams_.find(id);
+        if (found != streams_.end()) {
+            const std::int32_t stream = found->second;
+            open_.erase(stream);
+            streams_.erase(found);
+            connection_.reset(stream, NGHTTP2_CANCEL);
+        }
+    }
+
+    bool closed() const { return connection_.closed(); }
+
+    void on_request(std::int32_t, const std::string&, std::string) override {}
+    void on_request_gone(std::int32_t) override {}
+    bool may_take(std::uint64_t) override { return false; }
+    void on_closed() override {}
+
+    void on_response(std::int32_t stream, std::string body) override
+    {
+        end(stream, peer_result(std::move(body)));
+    }
+    void on_failure(std::int32_t stream, stream_failure failure) override
+    {
+        end(stream, peer_result(failure));
+    }
+
+private:
+    struct open_request {
+        peer_request_id id;
+        callback done;
+    };
+
+    void end(std::int32_t stream, peer_result result)
+    {
+        const auto found = open_.find(stream);
+        if (found == open_.end()) {
+            return;
+        }
+        const open_request request = std::move(found->second);
+        open_.erase(found);
+        streams_.erase(request.id);
+        request.done(std::move(result));
+    }
+
+    std::map<std::int32_t, open_request> open_;
+    std::map<peer_request_id, std::int32_t> streams_;
+    h2_connection connection_;
+};
+
+peer_client::peer_client(event_loop& loop) : loop_(loop), alive_(std::make_shared<bool>(true)) {}
+
+peer_client::~peer_client()
+{
+    *alive_ = false;
+}
+
+std::shared_ptr<peer_client::link> peer_client::link_to(const endpoint& address)
+{
+    std::shared_ptr<link>& held = links_[{address.host, address.port}];
+    if (held && held->closed()) {
+        // Callbacks of the closed connection may still be on the stack.
+        loop_.post([old = std::move(held)] {});
+        held = nullptr;
+    }
+    const int fd = held ? -1 : start_connect(address);
+    if (fd >= 0) {
+        held = std::make_shared<link>(loop_, fd);
+    }
+    return held;
+}
+
+void peer_client::retire(const endpoint& address)
+{
+    const auto found = links_.find({address.host, address.port});
+    if (found != links_.end()) {
+        retired_.push_back(std::move(found->second));
+        links_.erase(found);
+    }
+    retired_.erase(std::remove_if(retired_.begin(), retired_.end(),
+                                  [](const auto& l) { return l->closed(); }),
+                   retired_.end());
+}
+
+peer_request_id peer_client::send(const endpoint& address, const std::string& path, frame body,
+                                  callback done)
+{
+    const peer_request_id id(next_++);
+    const auto wrapped = [this, alive = alive_, id, done](peer_result result) {
+        if (*alive) {
+            requests_.erase(id);
+        }
+        done(std::move(result));
+    };
+    std::shared_ptr<link> held = link_to(address);
+    if (held && !held->send(id, path, body, wrapped)) {
+        // The other side shuts down: what is open on the link goes on, new requests get another.
+        retire(address);
+        held = link_to(address);
+        const bool sent = held && held->send(id, path, std::move(body), wrapped);
+        held = sent ? held : nullptr;
+    }
+    if (held) {
+        requests_[id] = held;
+        return id;
+    }
+    loop_.post([wrapped] { wrapped(peer_result(stream_failure::never_processed)); });
+    return id;
+}
+
+void peer_client::cancel(peer_request_id id)
+{
+    const auto found = requests_.find(id);
+    if (found == requests_.end()) {
+        return;
+    }
+    if (const std::shared_ptr<link> held = found->second.lock()) {
+        held->cancel(id);
+    }
+    requests_.erase(found);
+}
+
+} // namespace fescuedyke
--- /dev/null
+++ b/lib/transport/peer_server.cpp
@@ -0,0 +1,122 @@
+#include "fescuedyke/transport/peer_server.h"
+
+#include <sys/epoll.h>
+#include <sys/socket.h>
+#include <unistd.h>
+#include <utility>
+
+namespace fescuedyke {
+
+/// One client's connection.
+class peer_server::session final : public h2_events {
+public:
+    session(peer_server& server, std::uint64_t id, int fd)
+        : server_(server), id_(id),
+          connection_(server.loop_, fd, h2_connection::side::server, *this)
+    {
+    }
+
+    h2_connection& connection() { return connection_; }
+
+    void on_request(std::int32_t stream, const std::string& path, std::string body) override
+    {
+        const peer_stream_id id(server_.next_stream_++);
+        server_.open_[id] = {id_, stream};
+        ids_[stream] = id;
+        server_.handlers_.on_request(id, path, std::move(body));
+    }
+    void on_request_gone(std::int32_t stream) override
+    {
+        const auto found = ids_.find(stream);
+        if (found == ids_.end()) {
+            return;
+        }
+        const peer_stream_id id = found->second;
+        ids_.erase(found);
+        if (server_.open_.erase(id) > 0) {
+            server_.handlers_.on_gone(id);
+        }
+    }
+    void on_response(std::int32_t, std::string) override {}
+    void on_failure(std::int32_t, stream_failure) override {}
+    void on_closed() override { server_.drop(id_); }
+    bool may_take(std::uint64_t bytes) override { return server_.handlers_.may_take(bytes); }
+
+    void forget(std::int32_t stream) { ids_.erase(stream); }
+
+private:
+    peer_server& server_;
+    std::uint64_t id_;
+    std::map<std::int32_t, peer_stream_id> ids_;
+    h2_connection connection_;
+};
+
+peer_server::peer_server(event_loop& loop, handlers h) : loop_(loop), handlers_(std::move(h)) {}
+
+peer_server::~peer_server()
+{
+    if (fd_ >= 0) {
+        loop_.unwatch(fd_);
+        ::close(fd_);
+    }
+}
+
+absl::Status peer_server::listen(const endpoint& address)
+{
+    if (absl::Status listening = listen_on(address, fd_); !listening.ok()) {
+        return listening;
+    }
+    loop_.watch(fd_, EPOLLIN, [this](std::uint32_t) { accept_ready(); });
+    return absl::OkStatus();
+}
+
+void peer_server::accept_ready()
+{
+    for (;;) {
+        const int fd = ::accept4(fd_, nullptr, nullptr, SOCK_NONBLOCK | SOCK_CLOEXEC);
+        if (fd < 0) {
+            return;
+        }
+        const std::uint64_t id = next_session_++;
+        sessions_[id] = std::make_shared<session>(*this, id, fd);
+    }
+}
+
+void peer_server::drop(std::uint64_t session)
+{
+    const auto found = sessions_.find(session);
+    if (found != sessions_.end()) {
+        // The session's own functions are still on the stack.
+        loop_.post([old = std::move(found->second)] {});
+        sessions_.erase(found);
+    }
+}
+
+void peer_server::respond(peer_stream_id id, frame body)
+{
+    const auto found = open_.find(id);
+    if (found == open_.end()) {
+        return;
+    }
+    const place where = found->second;
+    open_.erase(found);
+    const auto s = sessions_.find(where.session);
+    if (s != sessions_.end()) {
+        s->second->forget(where.stream);
+        s->second->connection().respond(where.stream, std::move(body));
+    }
+}
+
+void peer_server::shut_down()
+{
+    if (fd_ >= 0) {
+        loop_.unwatch(fd_);
+        ::close(fd_);
+        fd_ = -1;
+    }
+    for (const auto& [id, s] : sessions_) {
+        s->connection().shut_down();
+    }
+}
+
+} // namespace fescuedyke
--- /dev/null
+++ b/tools/fescuedyke/main.cpp
@@ -0,0 +1,75 @@
+#include "fescuedyke/daemon/daemon.h"
+#include "fescuedyke/logging/json_log.h"
+#include "fescuedyke/settings/process_settings.h"
+
+#include <boost/program_options.hpp>
+#include <curl/curl.h>
+#include <nlohmann/json.hpp>
+
+#include <iostream>
+#include <random>
+#include <string>
+
+namespace {
+
+namespace options = boost::program_options;
+
+constexpr int exit_failed = 1;
+constexpr int exit_usage = 2;
+
+int run(const options::variables_map& given)
+{
+    const std::string path = given["config"].as<std::string>();
+    const absl::StatusOr<fescuedyke::process_settings> settings = fescuedyke::load_settings(path);
+    if (!settings.ok()) {
+        std::cerr << path << ":\n" << settings.status().message() << "\n";
+        return exit_usage;
+    }
+    if (given.count("check") != 0) {
+        std::cout << path << ": ok\n";
+        return 0;
+    }
+    const std::uint64_t seed = given.count("seed") != 0 ? given["seed"].as<std::uint64_t>()
+                                                        : std::random_device{}();
+    fescuedyke::start_log(settings->instance.value(), settings->log_level);
+    fescuedyke::write_log(fescuedyke::log_level::info, "seed", {{"seed", seed}});
+    curl_global_init(CURL_GLOBAL_DEFAULT);
+    fescuedyke::daemon_process process(*settings, seed);
+    const absl::Status ended = process.run();
+    if (!ended.ok()) {
+        fescuedyke::write_log(fescuedyke::log_level::error, "failed",
+                              {{"message", std::string(ended.message())}});
+        return exit_failed;
+    }
+    return 0;
+}
+
+} // namespace
+
+int main(int argc, char** argv)
+{
+    options::options_description description("fescuedyke --config FILE [options]");
+    auto add = description.add_options();
+    add("help,h", "print this text");
+    add("config,c", options::value<std::string>(), "settings file (YAML)");
+    add("check", "only check the settings and print every fault with its line");
+    add("seed", options::value<std::uint64_t>(), "seed of the random numbers");
+    options::variables_map given;
+    try {
+        options::store(options::parse_command_line(argc, argv, description), given);
+        options::notify(given);
+    }
+    catch (const options::error& error) {
+        std::cerr << error.what() << "\n";
+        return exit_usage;
+    }
+    if (given.count("help") != 0) {
+        std::cout << description;
+        return 0;
+    }
+    if (given.count("config") == 0) {
+        std::cerr << "config: is missing\n" << description;
+        return exit_usage;
+    }
+    return run(given);
+}
