Add the operators' command, the stand-in target, the load driver and the demo

Cause: the thin path must run on real sockets and be counted from outside. Change: fescuedykectl, merged accounts, standin_target with a run log, load_driver, examples and scripts/demo (three members, six nodes, six targets). It still fails: outcome headers do not reach callers, so the driver counts plain statuses.

--- /dev/null
+++ b/lib/operator/account_merge.cpp
@@ -0,0 +1,143 @@
+#include "fescuedyke/operator/account_merge.h"
+
+#include <map>
+#include <sstream>
+#include <tuple>
+#include <utility>
+
+namespace fescuedyke {
+
+namespace {
+
+using json = nlohmann::json;
+using source_key = std::pair<std::string, std::uint64_t>;
+
+void add_reasons(json& to, const json& from)
+{
+    for (const auto& [reason, count] : from.items()) {
+        to[reason] = to.value(reason, std::uint64_t{0}) + count.get<std::uint64_t>();
+    }
+}
+
+std::uint64_t total(const json& reasons)
+{
+    std::uint64_t sum = 0;
+    for (const auto& [reason, count] : reasons.items()) {
+        sum += count.get<std::uint64_t>();
+    }
+    return sum;
+}
+
+void add_row(json& to, const json& row)
+{
+    if (to.is_null()) {
+        to = row;
+        return;
+    }
+    for (const char* field : {"received", "answered", "in_progress"}) {
+        to[field] = to[field].get<std::uint64_t>() + row[field].get<std::uint64_t>();
+    }
+    add_reasons(to["not_run"], row["not_run"]);
+    add_reasons(to["unknown"], row["unknown"]);
+}
+
+std::map<source_key, json> latest_of_each(const std::vector<json>& answers)
+{
+    std::map<source_key, json> sources;
+    for (const json& answer : answers) {
+        for (const json& source : answer.at("sources")) {
+            json& held = sources[{source["instance"], source["incarnation"]}];
+            if (held.is_null() || source["sequence"] > held["sequence"]) {
+                held = source;
+            }
+        }
+    }
+    return sources;
+}
+
+/// What a source that will not report again had in progress is lost to the account.
+bool is_over(const std::map<source_key, json>& sources, const source_key& key)
+{
+    const auto later = sources.upper_bound(key);
+    return later != sources.end() && later->first.first == key.first;
+}
+
+std::string reasons_in_words(const json& reasons)
+{
+    std::string text;
+    for (const auto& [reason, count] : reasons.items()) {
+        text += (text.empty() ? "" : ", ") + std::to_string(count.get<std::uint64_t>()) + " " + reason;
+    }
+    return text;
+}
+
+} // namespace
+
+json merge_accounts(const std::vector<json>& answers, std::int64_t now_ms,
+                    std::int64_t silent_after_ms)
+{
+    const std::map<source_key, json> sources = latest_of_each(answers);
+    std::map<std::tuple<std::string, std::string, std::string>, json> rows;
+    json gaps = json::array();
+    json keys = json::array();
+    for (const auto& [key, source] : sources) {
+        for (const json& row : source["rows"]) {
+            add_row(rows[{row["side"], row["service"], row["class"]}], row);
+        }
+        for (const json& k : source["unknown_keys"]) {
+            keys.push_back(k);
+        }
+        const std::int64_t silent_ms = now_ms - source["last_report_ms"].get<std::int64_t>();
+        if (silent_ms > silent_after_ms) {
+            gaps.push_back({{"instance", key.first},
+                            {"incarnation", key.second},
+                            {"last_report_ms", source["last_report_ms"]},
+                            {"silent_ms", silent_ms},
+                            {"replaced", is_over(sources, key)}});
+        }
+    }
+    json merged = {{"rows", json::array()}, {"gaps", gaps}, {"unknown_keys", keys}};
+    bool conserved = true;
+    for (const auto& [key, row] : rows) {
+        const std::uint64_t parts = row["answered"].get<std::uint64_t>() + total(row["not_run"]) +
+                                    total(row["unknown"]) + row["in_progress"].get<std::uint64_t>();
+        conserved = conserved && row["received"] == parts;
+        merged["rows"].push_back(row);
+    }
+    merged["conserved"] = conserved;
+    return merged;
+}
+
+std::string explain_account(const json& account)
+{
+    std::ostringstream text;
+    for (const json& row : account["rows"]) {
+        const bool served = row["side"] == "served";
+        text << (served ? "served " : "sent to ") << row["service"].get<std::string>() << " ("
+             << row["class"].get<std::string>() << "): " << row["received"] << " received, "
+             << row["answered"] << " answered, " << total(row["not_run"]) << " not run, "
+             << total(row["unknown"]) << " unknown, " << row["in_progress"] << " in progress\n";
+        if (!row["not_run"].empty()) {
+            text << "  not run because: " << reasons_in_words(row["not_run"]) << "\n";
+        }
+        if (!row["unknown"].empty()) {
+            text << "  outcome unknown because: " << reasons_in_words(row["unknown"]) << "\n";
+        }
+    }
+    for (const json& key : account["unknown_keys"]) {
+        text << "unknown key: " << key["key"].get<std::string>() << " of "
+             << key["service"].get<std::string>() << " (" << key["reason"].get<std::string>()
+             << ")\n";
+    }
+    for (const json& gap : account["gaps"]) {
+        text << "gap: " << gap["instance"].get<std::string>() << " has not reported for "
+             << gap["silent_ms"].get<std::int64_t>() / 1000 << " s"
+             << (gap["replaced"].get<bool>() ? " (its process was replaced)" : "") << "\n";
+    }
+    if (account["rows"].empty()) {
+        text << "nothing was received\n";
+    }
+    return text.str();
+}
+
+} // namespace fescuedyke
--- /dev/null
+++ b/lib/operator/commands.cpp
@@ -0,0 +1,424 @@
+#include "fescuedyke/operator/commands.h"
+
+#include "fescuedyke/operator/account_merge.h"
+#include "fescuedyke/operator/member_client.h"
+
+#include <boost/program_options.hpp>
+#include <curl/curl.h>
+
+#include <chrono>
+#include <cstdlib>
+#include <fstream>
+#include <iostream>
+#include <random>
+#include <sstream>
+#include <string>
+#include <thread>
+#include <vector>
+
+namespace fescuedyke {
+
+namespace {
+
+namespace options = boost::program_options;
+using json = nlohmann::json;
+
+constexpr const char* token_variable = "FESCUEDYKE_TOKEN";
+constexpr const char* members_variable = "FESCUEDYKE_MEMBERS";
+constexpr std::chrono::milliseconds progress_pause{50};
+constexpr std::int64_t silent_after_ms = 5000;
+constexpr int conflict_status = 409;
+constexpr int first_error_status = 400;
+
+constexpr const char* usage_text =
+    "fescuedykectl COMMAND [options]\n\n"
+    "  policy apply FILE      put a policy in place (--based-on VERSION, --change-id ID)\n"
+    "  policy get NAME        print one policy (--owner OWNER)\n"
+    "  policy list            list the policies you may read\n"
+    "  policy remove NAME     remove a policy (--owner OWNER, --based-on VERSION)\n"
+    "  targets                list the targets that announced themselves\n"
+    "  progress               show how far each region has the configuration in force\n"
+    "  state ADDRESS          dump the state of one process\n"
+    "  account OWNER          explain an owner's account (--from MS, --to MS)\n\n"
+    "Exit codes: 0 done, 1 refused, 2 usage, 3 conflict, 4 no answer or outcome unknown,\n"
+    "5 durable but not yet in force everywhere\n";
+
+std::vector<std::string> split_list(const std::string& text)
+{
+    std::vector<std::string> items;
+    std::stringstream stream(text);
+    for (std::string item; std::getline(stream, item, ',');) {
+        items.push_back(item);
+    }
+    return items;
+}
+
+int code(exit_code c)
+{
+    return static_cast<int>(c);
+}
+
+std::int64_t wall_ms()
+{
+    const auto since = std::chrono::system_clock::now().time_since_epoch();
+    return std::chrono::duration_cast<std::chrono::milliseconds>(since).count();
+}
+
+/// What the command line gave.
+struct command_line {
+    std::vector<std::string> words;
+    std::vector<std::string> members;
+    std::string token;
+    std::string owner;
+    std::string change_id;
+    std::uint64_t based_on = 0;
+    bool based_on_given = false;
+    std::int64_t from_ms = -1;
+    std::int64_t to_ms = -1;
+    std::int64_t wait_ms = 3000;
+    bool as_json = false;
+
+    std::string word(std::size_t i) const { return i < words.size() ? words[i] : ""; }
+};
+
+class commands {
+public:
+    explicit commands(const command_line& line) : line_(line), client_(line.members, line.token) {}
+
+    int run()
+    {
+        struct entry {
+            const char* first;
+            const char* second;
+            std::size_t words;
+            int (commands::*run)();
+        };
+        static constexpr entry table[] = {{"policy", "apply", 3, &commands::apply},
+                                          {"policy", "get", 3, &commands::get},
+                                          {"policy", "list", 2, &commands::list},
+                                          {"policy", "remove", 3, &commands::remove},
+                                          {"targets", nullptr, 1, &commands::targets},
+                                          {"progress", nullptr, 1, &commands::progress},
+                                          {"state", nullptr, 2, &commands::state},
+                                          {"account", nullptr, 2, &commands::account}};
+        for (const entry& e : table) {
+            const bool second = e.second == nullptr || line_.word(1) == e.second;
+            if (line_.word(0) == e.first && second && line_.words.size() == e.words) {
+                return (this->*e.run)();
+            }
+        }
+        std::cerr << usage_text;
+        return code(exit_code::usage);
+    }
+
+private:
+    int fail(const absl::Status& status)
+    {
+        std::cerr << status.message() << "\n";
+        return code(exit_code::unavailable);
+    }
+
+    /// Prints an error answer. Returns the exit code, or 0 when the answer is no error.
+    int refused(const api_answer& answer)
+    {
+        if (answer.status < first_error_status) {
+            return 0;
+        }
+        const bool told = answer.body.is_object() && answer.body.contains("error");
+        std::cerr << (told ? answer.body["error"].get<std::string>() : answer.body.dump()) << "\n";
+        return code(answer.status == conflict_status ? exit_code::conflict : exit_code::refused);
+    }
+
+    std::string new_change_id() const
+    {
+        if (!line_.change_id.empty()) {
+            return line_.change_id;
+        }
+        std::random_device random;
+        std::ostringstream id;
+        id << std::hex << wall_ms() << "-" << random() << random();
+        return id.str();
+    }
+
+    absl::StatusOr<json> find_policy(const std::string& owner, const std::string& name)
+    {
+        const absl::StatusOr<api_answer> answer = client_.ask_any("/v1/policies");
+        if (!answer.ok()) {
+            return answer.status();
+        }
+        if (answer->status >= first_error_status) {
+            return absl::PermissionDeniedError(answer->body.dump());
+        }
+        for (const json& p : answer->body["policies"]) {
+            if (p["name"] == name && (owner.empty() || p["owner"] == owner)) {
+                return p;
+            }
+        }
+        return absl::NotFoundError(name + ": no such policy");
+    }
+
+    int send_change(const json& change)
+    {
+        const absl::StatusOr<api_answer> answer = client_.change(change.dump());
+        if (!answer.ok()) {
+            std::cerr << answer.status().message() << "; send the same change again with --change-id "
+                      << change["change_id"].get<std::string>() << "\n";
+            return code(exit_code::unavailable);
+        }
+        if (answer->status == conflict_status) {
+            std::cerr << "conflict: version " << answer->body["policy_version"]
+                      << " is in force\n";
+            return code(exit_code::conflict);
+        }
+        if (const int error = refused(*answer); error != 0) {
+            return error;
+        }
+        return report_in_force(answer->body);
+    }
+
+    int report_in_force(json result)
+    {
+        const std::uint64_t version = result["version"];
+        const auto until = std::chrono::steady_clock::now() + std::chrono::milliseconds(line_.wait_ms);
+        bool everywhere = false;
+        while (!everywhere && std::chrono::steady_clock::now() < until) {
+            const absl::StatusOr<api_answer> answer = client_.ask_any("/v1/progress");
+            if (answer.ok() && answer->status < first_error_status) {
+                result["progress"] = answer->body;
+                everywhere = in_force_everywhere(answer->body, version);
+            }
+            if (!everywhere) {
+                std::this_thread::sleep_for(progress_pause);
+            }
+        }
+        result["in_force"] = everywhere;
+        if (line_.as_json) {
+            std::cout << result.dump() << "\n";
+        }
+        else {
+            print_in_force(result, version);
+        }
+        return code(everywhere ? exit_code::ok : exit_code::not_yet_in_force);
+    }
+
+    static bool in_force_everywhere(const json& progress, std::uint64_t version)
+    {
+        for (const auto& [region, p] : progress["regions"].items()) {
+            if (p["lowest"] < version) {
+                return false;
+            }
+        }
+        return progress["version"] >= version;
+    }
+
+    static void print_in_force(const json& result, std::uint64_t version)
+    {
+        std::cout << "durable as version " << version << " of the configuration, policy version "
+                  << result["policy_version"] << "\n";
+        for (const auto& [region, p] : result["progress"]["regions"].items()) {
+            const bool done = p["lowest"] >= version;
+            std::cout << region << ": " << (done ? "in force" : "not confirmed") << " ("
+                      << p["nodes"] << " nodes)\n";
+        }
+    }
+
+    int apply()
+    {
+        std::ifstream file(line_.word(2));
+        if (!file) {
+            std::cerr << line_.word(2) << ": cannot be read\n";
+            return code(exit_code::usage);
+        }
+        std::stringstream yaml;
+        yaml << file.rdbuf();
+        const json change = {{"change_id", new_change_id()},
+                             {"based_on", line_.based_on},
+                             {"policy", yaml.str()}};
+        return send_change(change);
+    }
+
+    int remove()
+    {
+        const absl::StatusOr<json> held = find_policy(line_.owner, line_.word(2));
+        if (!held.ok()) {
+            return fail(held.status());
+        }
+        const json based_on = line_.based_on_given ? json(line_.based_on) : (*held)["version"];
+        const json change = {{"change_id", new_change_id()},
+                             {"based_on", based_on},
+                             {"owner", (*held)["owner"]},
+                             {"name", line_.word(2)},
+                             {"remove", true}};
+        return send_change(change);
+    }
+
+    int get()
+    {
+        const absl::StatusOr<json> held = find_policy(line_.owner, line_.word(2));
+        if (absl::IsNotFound(held.status())) {
+            std::cerr << held.status().message() << "\n";
+            return code(exit_code::refused);
+        }
+        if (!held.ok()) {
+            return fail(held.status());
+        }
+        if (line_.as_json) {
+            std::cout << held->dump() << "\n";
+            return code(exit_code::ok);
+        }
+        std::cout << "# version " << (*held)["version"] << "\n"
+                  << (*held)["policy"].get<std::string>();
+        return code(exit_code::ok);
+    }
+
+    int print(const std::string& path, void (*in_words)(const json&))
+    {
+        const absl::StatusOr<api_answer> answer = client_.ask_any(path);
+        if (!answer.ok()) {
+            return fail(answer.status());
+        }
+        if (const int error = refused(*answer); error != 0) {
+            return error;
+        }
+        if (line_.as_json) {
+            std::cout << answer->body.dump() << "\n";
+        }
+        else {
+            in_words(answer->body);
+        }
+        return code(exit_code::ok);
+    }
+
+    int list()
+    {
+        return print("/v1/policies", [](const json& body) {
+            std::cout << "configuration version " << body["version"] << "\n";
+            for (const json& p : body["policies"]) {
+                std::cout << p["owner"].get<std::string>() << "/" << p["name"].get<std::string>()
+                          << " version " << p["version"] << "\n";
+            }
+        });
+    }
+
+    int targets()
+    {
+        return print("/v1/targets", [](const json& body) {
+            for (const json& t : body["targets"]) {
+                std::cout << t["service"].get<std::string>() << " "
+                          << t["instance"].get<std::string>() << " "
+                          << t["state"].get<std::string>() << " " << t["region"].get<std::string>()
+                          << "/" << t["zone"].get<std::string>() << " slots " << t["slots"] << "\n";
+            }
+        });
+    }
+
+    int progress()
+    {
+        return print("/v1/progress", [](const json& body) {
+            std::cout << "configuration version " << body["version"] << "\n";
+            for (const auto& [region, p] : body["regions"].items()) {
+                std::cout << region << ": lowest version " << p["lowest"] << ", " << p["nodes"]
+                          << " nodes, " << p["behind"] << " behind\n";
+            }
+        });
+    }
+
+    int state()
+    {
+        const absl::StatusOr<api_answer> answer =
+            client_.ask(line_.word(1), "GET", "/v1/state", "");
+        if (!answer.ok()) {
+            return fail(answer.status());
+        }
+        if (const int error = refused(*answer); error != 0) {
+            return error;
+        }
+        constexpr int indent = 2;
+        std::cout << answer->body.dump(line_.as_json ? -1 : indent) << "\n";
+        return code(exit_code::ok);
+    }
+
+    int account()
+    {
+        std::string path = "/v1/accounts?owner=" + line_.word(1);
+        path += line_.from_ms >= 0 ? "&from=" + std::to_string(line_.from_ms) : "";
+        path += line_.to_ms >= 0 ? "&to=" + std::to_string(line_.to_ms) : "";
+        std::size_t silent = 0;
+        std::vector<json> bodies;
+        for (const api_answer& answer : client_.ask_all(path, silent)) {
+            if (const int error = refused(answer); error != 0) {
+                return error;
+            }
+            bodies.push_back(answer.body);
+        }
+        if (bodies.empty()) {
+            return fail(absl::UnavailableError("no member answered"));
+        }
+        json merged = merge_accounts(bodies, wall_ms(), silent_after_ms);
+        merged["owner"] = line_.word(1);
+        merged["silent_members"] = silent;
+        if (line_.as_json) {
+            std::cout << merged.dump() << "\n";
+            return code(exit_code::ok);
+        }
+        std::cout << "account of " << line_.word(1) << "\n" << explain_account(merged);
+        if (silent > 0) {
+            std::cout << silent << " of the members did not answer\n";
+        }
+        return code(exit_code::ok);
+    }
+
+    command_line line_;
+    member_client client_;
+};
+
+} // namespace
+
+int run_operator_command(int argc, char** argv)
+{
+    command_line line;
+    const char* token = std::getenv(token_variable);
+    line.token = token != nullptr ? token : "";
+    const char* members_set = std::getenv(members_variable);
+    std::string members = members_set != nullptr ? members_set : "";
+    options::options_description description("Options");
+    auto add = description.add_options();
+    add("help,h", "print this text");
+    add("members,m", options::value(&members),
+        "IP:port of each member, with commas between (or FESCUEDYKE_MEMBERS)");
+    add("token", options::value(&line.token), "operator's token (or FESCUEDYKE_TOKEN)");
+    add("json", options::bool_switch(&line.as_json), "print JSON");
+    add("owner", options::value(&line.owner), "owner of the policy");
+    add("based-on", options::value(&line.based_on), "version the change was made against");
+    add("change-id", options::value(&line.change_id), "id of the change, for a resend");
+    add("wait", options::value(&line.wait_ms), "milliseconds to wait until in force");
+    add("from", options::value(&line.from_ms), "milliseconds since the Unix epoch");
+    add("to", options::value(&line.to_ms), "milliseconds since the Unix epoch");
+    options::options_description hidden;
+    hidden.add_options()("words", options::value(&line.words));
+    options::options_description all;
+    all.add(description).add(hidden);
+    options::positional_options_description positions;
+    positions.add("words", -1);
+    options::variables_map given;
+    try {
+        options::store(
+            options::command_line_parser(argc, argv).options(all).positional(positions).run(),
+            given);
+        options::notify(given);
+    }
+    catch (const options::error& error) {
+        std::cerr << error.what() << "\n";
+        return code(exit_code::usage);
+    }
+    if (given.count("help") != 0) {
+        std::cout << usage_text << "\n" << description;
+        return code(exit_code::ok);
+    }
+    line.members = split_list(members);
+    line.based_on_given = given.count("based-on") != 0;
+    curl_global_init(CURL_GLOBAL_DEFAULT);
+    return commands(line).run();
+}
+
+} // namespace fescuedyke
--- /dev/null
+++ b/scripts/demo.py
@@ -0,0 +1,192 @@
+"""Runs the main job on a small local mesh and checks its figures against the stand-ins' own logs."""
+
+import collections
+import os
+import shutil
+import sys
+
+from mesh import MEMBERS, ROOT, Mesh, wait_for
+
+NODES = {
+    "bookings-1": ("bookings", 7401),
+    "bookings-2": ("bookings", 7411),
+    "calendar-1": ("calendar", 7421),
+    "calendar-2": ("calendar", 7431),
+    "fees-1": ("fees", 7441),
+    "fees-2": ("fees", 7451),
+}
+faults = []
+
+
+def expect(what, holds, detail=""):
+    print(("  ok    " if holds else "  WRONG ") + what + (f" ({detail})" if detail else ""))
+    if not holds:
+        faults.append(what)
+
+
+def start(mesh):
+    for name in MEMBERS:
+        mesh.start_node(name)
+    for name, (service, base) in NODES.items():
+        mesh.start_node(name)
+        options = {"slots": 4, "service_time": 20}
+        if service == "bookings":
+            options["calls_on"] = "calendar"
+        mesh.start_target(name, service, base, **options)
+    wait_for("a leader", lambda: mesh.ctl("platform", "progress").returncode == 0)
+    for policy, owner in [
+        ("inkwell-browsing", "inkwell"),
+        ("inkwell-deposits", "inkwell"),
+        ("inkwell-uploads", "inkwell"),
+        ("chenab-lookups", "chenab"),
+        ("chenab-fees", "chenab"),
+    ]:
+        path = os.path.join(ROOT, "examples", "policies", policy + ".yaml")
+        done = mesh.ctl(owner, "policy", "apply", path)
+        print("  " + done.stdout.strip().replace("\n", "; ") + done.stderr.strip())
+        expect(f"policy {policy} is in force everywhere", done.returncode == 0)
+
+    def ready():
+        for _, base in NODES.values():
+            node = mesh.state(base)["node"]
+            if not node["ready"] or len(node.get("targets", {})) != 3:
+                return False
+            if node["keys"]["buckets"] == 0 or node["keys"]["lease_ms"] <= 0:
+                return False
+        return True
+
+    wait_for("all targets ready and keys owned", ready)
+
+
+def send_mixed(mesh):
+    inkwell = ["127.0.0.1:7401", "127.0.0.1:7411"]
+    chenab = ["127.0.0.1:7441", "127.0.0.1:7451"]
+    results = {}
+    results["browsing"] = mesh.load(
+        "--node", *inkwell, "--path", "/call/bookings/slots", "--rate", 40, "--duration", 1500
+    )
+    results["deposits"] = mesh.load(
+        "--node", *inkwell, "--path", "/call/bookings/deposit", "--method", "POST",
+        "--labels", "operation=deposit", "--keys", "-", "--rate", 20, "--duration", 1500,
+        "--client-retries", 4, "--outcomes", "deposits.outcomes",
+    )
+    results["fees"] = mesh.load(
+        "--node", *chenab, "--path", "/call/fees/post", "--method", "POST",
+        "--labels", "operation=fee-posting", "--keys", "-", "--rate", 20, "--duration", 1500,
+        "--client-retries", 4, "--outcomes", "fees.outcomes",
+    )
+    results["upload"] = mesh.load(
+        "--node", inkwell[0], "--path", "/call/calendar/reference", "--method", "POST",
+        "--labels", "operation=upload", "--keys", "-", "--rate", 2, "--duration", 1000,
+        "--body-bytes", 60 << 20,
+    )
+    return results
+
+
+def overload(mesh):
+    """Browsing at several times what the calendar can do, together with deposits."""
+    inkwell = ["127.0.0.1:7401", "127.0.0.1:7411"]
+    browsing = mesh.start_load(
+        "--node", *inkwell, "--path", "/call/bookings/slots", "--rate", 800, "--duration", 3000
+    )
+    deposits = mesh.load(
+        "--node", *inkwell, "--path", "/call/bookings/deposit", "--method", "POST",
+        "--labels", "operation=deposit", "--keys", "-", "--rate", 40, "--duration", 3000,
+        "--client-retries", 4, "--outcomes", "overload.outcomes", "--seed", 7,
+    )
+    import json
+
+    return {"browsing": json.loads(browsing.communicate()[0]), "deposits": deposits}
+
+
+def show(results):
+    for name, result in results.items():
+        outcomes = ", ".join(f"{count} {what}" for what, count in result["outcomes"].items())
+        print(f"  {name}: {result['sent']} sent: {outcomes}")
+
+
+def check_runs(mesh, service, file):
+    import json
+
+    runs = collections.Counter(
+        run["key"] for run in mesh.runs(service) if ":" in run["key"] or run["key"].count("-") == 4
+    )
+    with open(os.path.join(mesh.folder, file)) as lines:
+        outcomes = [json.loads(line) for line in lines]
+    doubled = [key for key, count in runs.items() if count > 1]
+    expect(f"{file}: no key ran twice", not doubled, f"{len(runs)} keys ran")
+    false_not_run = [o for o in outcomes if o["outcome"].startswith("not-run") and runs[o["key"]]]
+    expect(f"{file}: nothing told 'not run' had run", not false_not_run)
+    lost = [o for o in outcomes if o["outcome"].startswith("answered") and not runs[o["key"]]]
+    expect(f"{file}: everything answered had run", not lost)
+
+
+def account_total(mesh, owner, side, service, field):
+    account = mesh.ctl_json(owner, "account", owner)
+    rows = [r for r in account["rows"] if r["side"] == side and r["service"] == service]
+    return sum(r[field] for r in rows)
+
+
+def settled(mesh):
+    account = mesh.ctl_json("inkwell", "account", "inkwell")
+    return account["rows"] and all(r["in_progress"] == 0 for r in account["rows"])
+
+
+def main():
+    build = sys.argv[1]
+    folder = os.path.join(ROOT, "demo-run")
+    shutil.rmtree(folder, ignore_errors=True)
+    mesh = Mesh(build, folder)
+    try:
+        print("== starting three members, six nodes and six targets")
+        start(mesh)
+        print("== mixed calls of both owners")
+        results = send_mixed(mesh)
+        show(results)
+        for name, result in results.items():
+            expect(f"{name}: all answered", result["outcomes"] == {"answered": result["sent"]})
+        print("== overload: browsing at 800/s against a calendar that can do 400/s")
+        loaded = overload(mesh)
+        show(loaded)
+        deposits = loaded["deposits"]
+        expect("deposits: all answered", deposits["outcomes"] == {"answered": deposits["sent"]})
+        refused = sum(n for what, n in loaded["browsing"]["outcomes"].items() if "not-run" in what)
+        expect("browsing was refused where it had to be", refused > 0, f"{refused} refused")
+        for service, file in [
+            ("bookings", "deposits.outcomes"),
+            ("bookings", "overload.outcomes"),
+            ("fees", "fees.outcomes"),
+        ]:
+            check_runs(mesh, service, file)
+        print("== accounts against the stand-ins' run logs")
+        wait_for("the accounts to settle", lambda: settled(mesh), 15)
+        import time
+
+        time.sleep(2.5)
+        for service, owner in [("bookings", "inkwell"), ("calendar", "inkwell"), ("fees", "chenab")]:
+            ran = sum(1 for run in mesh.runs(service) if run["status"] != 499)
+            answered = account_total(mesh, owner, "served", service, "answered")
+            expect(f"{service}: answered in the account = runs logged", answered == ran,
+                   f"{answered} and {ran}")
+        for owner in ["inkwell", "chenab"]:
+            print(mesh.ctl(owner, "account", owner).stdout.rstrip())
+            expect(f"{owner}: received = answered + not run + unknown + in progress",
+                   mesh.ctl_json(owner, "account", owner)["conserved"])
+        private = mesh.ctl("inkwell", "policy", "get", "fees", "--owner", "chenab")
+        expect("a neighbour's private policy cannot be read", private.returncode == 1)
+        neighbour = mesh.ctl("inkwell", "account", "chenab")
+        expect("a neighbour's account cannot be read", neighbour.returncode == 1)
+    finally:
+        print("== stopping")
+        targets = [n for n in mesh.processes if n.endswith("-target")]
+        codes = mesh.stop(targets)
+        codes.update(mesh.stop([n for n in mesh.processes if n not in MEMBERS]))
+        codes.update(mesh.stop())
+    expect("every process stopped gracefully", all(c == 0 for c in codes.values()),
+           str({n: c for n, c in codes.items() if c != 0} or f"{len(codes)} processes"))
+    print("demo: " + ("FAILED: " + "; ".join(faults) if faults else "all figures agree"))
+    return 1 if faults else 0
+
+
+if __name__ == "__main__":
+    sys.exit(main())
--- /dev/null
+++ b/tools/fescuedykectl/main.cpp
@@ -0,0 +1,6 @@
+#include "fescuedyke/operator/commands.h"
+
+int main(int argc, char** argv)
+{
+    return fescuedyke::run_operator_command(argc, argv);
+}
