--- a/include/fescuedyke/codec/common_fields.h
+++ b/include/fescuedyke/codec/common_fields.h
@@ -47,8 +47,14 @@
     a(value);
     r = rank::from_value(value);
 }
-template <class A> void fields(A& a, header& x) { a(x.name, x.value); }
-template <class A> void fields(A& a, http_answer& x) { a(x.status, x.headers, x.body); }
+template <class A> void fields(A& a, header& x)
+{
+    a(x.name, x.value);
+}
+template <class A> void fields(A& a, http_answer& x)
+{
+    a(x.status, x.headers, x.body);
+}
 template <class A> void fields(A& a, outcome& x)
 {
     a(x.kind, x.reason, x.retry_helps, x.retry_after);
@@ -62,8 +68,14 @@
     a(x.call, x.root, x.flow, x.origin, x.service, x.order, x.attempt, x.depth, x.time_left,
       x.allowance, x.idempotent, x.key, x.client_attempt, x.labels);
 }
-template <class A> void fields(A& a, endpoint& x) { a(x.host, x.port); }
-template <class A> void fields(A& a, locality& x) { a(x.region, x.zone); }
+template <class A> void fields(A& a, endpoint& x)
+{
+    a(x.host, x.port);
+}
+template <class A> void fields(A& a, locality& x)
+{
+    a(x.region, x.zone);
+}
 template <class A> void fields(A& a, target_announcement& x)
 {
     a(x.service, x.labels, x.slots, x.state);
@@ -72,48 +84,99 @@
 {
     a(x.instance, x.node_incarnation, x.sequence, x.address, x.place, x.owner, x.target);
 }
-template <class A> void fields(A& a, node_status& x) { a(x.record, x.live); }
-template <class A> void fields(A& a, member_delta& x) { a(x.epoch, x.from, x.version, x.changes); }
-template <class A> void fields(A& a, view_delta& x) { a(x.epoch, x.from, x.version, x.changes); }
+template <class A> void fields(A& a, node_status& x)
+{
+    a(x.record, x.live, x.in_force);
+}
+template <class A> void fields(A& a, member_delta& x)
+{
+    a(x.epoch, x.from, x.version, x.changes);
+}
+template <class A> void fields(A& a, view_delta& x)
+{
+    a(x.epoch, x.from, x.version, x.changes);
+}
 template <class A> void fields(A& a, bucket_grant& x)
 {
     a(x.owner, x.owner_incarnation, x.epoch, x.changed_in, x.former_owner, x.former_incarnation);
 }
-template <class A> void fields(A& a, bucket_table& x) { a(x.version, x.homes); }
+template <class A> void fields(A& a, bucket_table& x)
+{
+    a(x.version, x.homes);
+}
 template <class A> void fields(A& a, run_record& x)
 {
     a(x.state, x.created, x.client_attempt, x.answer_kept, x.answer);
 }
-template <class A> void fields(A& a, account_key& x) { a(x.side, x.owner, x.service, x.cls); }
+template <class A> void fields(A& a, account_key& x)
+{
+    a(x.side, x.owner, x.service, x.cls);
+}
 template <class A> void fields(A& a, account_row& x)
 {
     a(x.received, x.answered, x.not_run, x.unknown, x.in_progress);
 }
-template <class A> void fields(A& a, unknown_key& x) { a(x.row, x.key, x.reason, x.at); }
-template <class A> void fields(A& a, member_id& x) { a(x.name, x.disk); }
-template <class A> void fields(A& a, member_entry& x) { a(x.id, x.address, x.api_address, x.voter); }
-template <class A> void fields(A& a, log_entry& x) { a(x.index, x.term, x.kind, x.data, x.members); }
-template <class A> void fields(A& a, hard_state& x) { a(x.term, x.voted_for); }
-template <class A> void fields(A& a, snapshot& x) { a(x.index, x.term, x.members, x.data); }
+template <class A> void fields(A& a, unknown_key& x)
+{
+    a(x.row, x.key, x.reason, x.at);
+}
+template <class A> void fields(A& a, member_id& x)
+{
+    a(x.name, x.disk);
+}
+template <class A> void fields(A& a, member_entry& x)
+{
+    a(x.id, x.address, x.api_address, x.voter);
+}
+template <class A> void fields(A& a, log_entry& x)
+{
+    a(x.index, x.term, x.kind, x.data, x.members);
+}
+template <class A> void fields(A& a, hard_state& x)
+{
+    a(x.term, x.voted_for);
+}
+template <class A> void fields(A& a, snapshot& x)
+{
+    a(x.index, x.term, x.members, x.data);
+}
 template <class A> void fields(A& a, vote_request& x)
 {
     a(x.pre_vote, x.handed_over, x.term, x.last_index, x.last_term, x.voter_disk);
 }
-template <class A> void fields(A& a, vote_reply& x) { a(x.pre_vote, x.term, x.granted); }
+template <class A> void fields(A& a, vote_reply& x)
+{
+    a(x.pre_vote, x.term, x.granted);
+}
 template <class A> void fields(A& a, append_request& x)
 {
     a(x.term, x.previous_index, x.previous_term, x.commit, x.entries, x.follower_disk, x.round,
       x.confirmed);
 }
-template <class A> void fields(A& a, append_reply& x) { a(x.term, x.success, x.index, x.round); }
+template <class A> void fields(A& a, append_reply& x)
+{
+    a(x.term, x.success, x.index, x.round);
+}
 template <class A> void fields(A& a, snapshot_chunk& x)
 {
     a(x.term, x.index, x.index_term, x.members, x.offset, x.total, x.data, x.follower_disk);
 }
-template <class A> void fields(A& a, snapshot_reply& x) { a(x.term, x.index, x.received); }
-template <class A> void fields(A& a, join_request& x) { a(x.address, x.api_address); }
-template <class A> void fields(A& a, campaign_now& x) { a(x.term); }
-template <class A> void fields(A& a, consensus_message& x) { a(x.from, x.body); }
+template <class A> void fields(A& a, snapshot_reply& x)
+{
+    a(x.term, x.index, x.received);
+}
+template <class A> void fields(A& a, join_request& x)
+{
+    a(x.address, x.api_address);
+}
+template <class A> void fields(A& a, campaign_now& x)
+{
+    a(x.term);
+}
+template <class A> void fields(A& a, consensus_message& x)
+{
+    a(x.from, x.body);
+}
 
 } // namespace fescuedyke
 
--- a/include/fescuedyke/control/control_core.h
+++ b/include/fescuedyke/control/control_core.h
@@ -99,6 +99,15 @@
     member_sync sync;
 };
 
+/// How far the nodes of one region have come.
+struct region_progress {
+    std::uint64_t nodes = 0;
+    /// Nodes that have not the latest version the member knows.
+    std::uint64_t behind = 0;
+    /// Lowest version in force.
+    config_version lowest;
+};
+
 /// What became of an operator's change.
 enum class change_outcome : std::uint8_t {
     /// Durable on a quorum, with the result that every resend will get.
@@ -117,8 +126,8 @@
     std::optional<endpoint> leader_api;
 };
 
-using control_action = std::variant<send_consensus, answer_poll, send_member_sync,
-                                    answer_member_sync, answer_change>;
+using control_action =
+    std::variant<send_consensus, answer_poll, send_member_sync, answer_member_sync, answer_change>;
 using control_actions = std::vector<control_action>;
 
 /// Takes one event and the time, and returns what is to be done.
@@ -142,7 +151,7 @@
     const lease_table& leases() const { return leases_; }
     const account_book& accounts() const { return accounts_; }
 
-    /// Returns how far the nodes of each region have come, over all members heard from.
+    /// Returns how far the nodes of each region have come, by all that members have told.
     std::map<region_name, region_progress> progress() const;
 
     /// Returns how old the latest confirmation by a quorum is.
@@ -179,7 +188,6 @@
     poll_reply make_poll_reply(const node_poll& poll, instant now);
     member_sync make_sync(const std::string& to) const;
     void take_over_sync(const member_sync& sync, instant now);
-    std::map<region_name, region_progress> own_progress() const;
     owner_delta owners_since(std::uint64_t known) const;
 
     control_settings settings_;
@@ -209,13 +217,6 @@
     std::map<std::string, acknowledged> acknowledged_;
     /// What this member knows of the others' nodes.
     std::map<std::string, acknowledged> known_;
-    std::map<instance_id, config_version> in_force_;
-    struct told_progress {
-        std::map<region_name, region_progress> regions;
-        instant at;
-    };
-    std::map<std::string, told_progress> told_progress_;
-    instant now_;
 };
 
 } // namespace fescuedyke
--- a/include/fescuedyke/control/control_fields.h
+++ b/include/fescuedyke/control/control_fields.h
@@ -22,12 +22,18 @@
 {
     a(x.change_id, x.operator_name, x.owner, x.name, x.based_on, x.yaml, x.remove, x.is_private);
 }
-template <class A> void fields(A& a, change_result& x) { a(x.code, x.policy_version, x.version); }
+template <class A> void fields(A& a, change_result& x)
+{
+    a(x.code, x.policy_version, x.version);
+}
 template <class A> void fields(A& a, owner_change::grant& x)
 {
     a(x.bucket, x.owner, x.owner_incarnation);
 }
-template <class A> void fields(A& a, owner_change& x) { a(x.home, x.grants); }
+template <class A> void fields(A& a, owner_change& x)
+{
+    a(x.home, x.grants);
+}
 template <class A> void fields(A& a, node_poll& x)
 {
     a(x.record, x.policies, x.owners_version, x.view_epoch, x.view_version, x.wants_lease);
@@ -37,10 +43,9 @@
     a(x.member, x.members, x.leader, x.beacon_age, x.version, x.policies, x.owners_version,
       x.owners, x.view, x.lease);
 }
-template <class A> void fields(A& a, region_progress& x) { a(x.nodes, x.behind, x.lowest); }
 template <class A> void fields(A& a, member_sync& x)
 {
-    a(x.member, x.known_epoch, x.known_version, x.delta, x.progress);
+    a(x.member, x.known_epoch, x.known_version, x.delta);
 }
 template <class A> void fields(A& a, account_report& x)
 {
--- a/include/fescuedyke/control/messages.h
+++ b/include/fescuedyke/control/messages.h
@@ -51,15 +51,6 @@
     std::optional<millis> lease;
 };
 
-/// How far the nodes of one region have come.
-struct region_progress {
-    std::uint64_t nodes = 0;
-    /// Nodes that have not the latest version the member knows.
-    std::uint64_t behind = 0;
-    /// Lowest version in force.
-    config_version lowest;
-};
-
 /// A member tells another of the nodes whose leases it holds; the reply is the same from the other.
 struct member_sync {
     std::string member;
@@ -67,7 +58,6 @@
     std::uint64_t known_epoch = 0;
     std::uint64_t known_version = 0;
     member_delta delta;
-    std::map<region_name, region_progress> progress;
 };
 
 /// A node's cumulative account. Of two reports of one incarnation the one with the greater
--- a/include/fescuedyke/control/ownership_planner.h
+++ b/include/fescuedyke/control/ownership_planner.h
@@ -58,8 +58,7 @@
     using candidate_list = std::vector<candidate>;
 
     bool has_ended(const holder& h, const std::vector<node_record>& live, instant now) const;
-    bool may_assign(const bucket_grant& g, const std::vector<node_record>& live,
-                    instant now) const;
+    bool may_assign(const bucket_grant& g, const std::vector<node_record>& live, instant now) const;
     candidate_list candidates(const bucket_home& home, const std::vector<node_record>& live,
                               instant now) const;
     std::optional<owner_change> plan_home(const bucket_home& home, const bucket_grants& grants,
--- a/include/fescuedyke/membership/lease_table.h
+++ b/include/fescuedyke/membership/lease_table.h
@@ -29,8 +29,8 @@
     /// \p epoch tells this process from former ones of the same member.
     lease_table(const membership_settings& settings, std::uint64_t epoch);
 
-    /// A node reported itself.
-    void on_report(const node_record& record, instant now);
+    /// A node reported itself and the configuration it has in force.
+    void on_report(const node_record& record, config_version in_force, instant now);
 
     /// Another member told of its nodes. Returns the version to acknowledge.
     std::uint64_t on_member_delta(const std::string& member, const member_delta& delta,
--- a/include/fescuedyke/membership/node_record.h
+++ b/include/fescuedyke/membership/node_record.h
@@ -49,6 +49,8 @@
 struct node_status {
     node_record record;
     bool live = false;
+    /// Latest configuration that the node is known to have in force.
+    config_version in_force;
 };
 
 /// Changes among the nodes that one member holds leases of.
--- a/include/fescuedyke/node/actions.h
+++ b/include/fescuedyke/node/actions.h
@@ -67,8 +67,8 @@
     call_reply reply;
 };
 
-using node_action = std::variant<answer_caller, send_call, cancel_call, dispatch_call,
-                                 cancel_dispatch, reply_call>;
+using node_action =
+    std::variant<answer_caller, send_call, cancel_call, dispatch_call, cancel_dispatch, reply_call>;
 
 /// Actions in the order decided.
 using node_actions = std::vector<node_action>;
--- a/include/fescuedyke/node/events.h
+++ b/include/fescuedyke/node/events.h
@@ -138,11 +138,10 @@
 /// Time passes; expected about every ten milliseconds.
 struct tick {};
 
-using node_event =
-    std::variant<caller_request, caller_gone, peer_call, peer_cancelled, peer_reply, peer_failed,
-                 target_answered, target_failed, target_announced, target_draining, node_stopping,
-                 policies_in_force, targets_in_view, owners_in_force, lease_renewed,
-                 records_handed_over, tick>;
+using node_event = std::variant<caller_request, caller_gone, peer_call, peer_cancelled, peer_reply,
+                                peer_failed, target_answered, target_failed, target_announced,
+                                target_draining, node_stopping, policies_in_force, targets_in_view,
+                                owners_in_force, lease_renewed, records_handed_over, tick>;
 
 } // namespace fescuedyke
 
--- a/include/fescuedyke/node/inbound_calls.h
+++ b/include/fescuedyke/node/inbound_calls.h
@@ -71,8 +71,7 @@
     const run_registry& registry() const { return registry_; }
 
 private:
-    std::optional<outcome> refusal_before_admission(const call_context& context,
-                                                   instant now) const;
+    std::optional<outcome> refusal_before_admission(const call_context& context, instant now) const;
     void admit(inbound_call& call, instant now);
     void begin_keyed(inbound_call& call, moment at);
     void apply(const admission_result& result, instant now);
--- a/include/fescuedyke/node/outbound_calls.h
+++ b/include/fescuedyke/node/outbound_calls.h
@@ -41,6 +41,8 @@
     bool attempt_open = false;
     /// An earlier attempt may have run.
     bool may_have_run = false;
+    /// Why the latest attempt was not answered.
+    std::optional<outcome> last_result;
 };
 
 /// Chooses targets, makes attempts, and gives each caller exactly one outcome.
--- a/include/fescuedyke/storage/file_system.h
+++ b/include/fescuedyke/storage/file_system.h
@@ -22,7 +22,8 @@
     /// Adds \p bytes at the end of a file and syncs it.
     virtual absl::Status append_synced(const std::string& name, const std::string& bytes) = 0;
 
-    /// Puts \p bytes in the place of a whole file; after a crash either the old or the new is there.
+    /// Puts \p bytes in the place of a whole file; after a crash either the old or the new is
+    /// there.
     virtual absl::Status replace_synced(const std::string& name, const std::string& bytes) = 0;
 
     /// Shortens a file to \p size bytes and syncs it.
--- a/include/fescuedyke/transport/h2_connection.h
+++ b/include/fescuedyke/transport/h2_connection.h
@@ -78,8 +78,8 @@
     };
 
     static ssize_t read_body(nghttp2_session* session, std::int32_t stream, std::uint8_t* buffer,
-                             std::size_t length, std::uint32_t* flags,
-                             nghttp2_data_source* source, void* self);
+                             std::size_t length, std::uint32_t* flags, nghttp2_data_source* source,
+                             void* self);
     static int on_begin_headers(nghttp2_session* session, const nghttp2_frame* frame, void* self);
     static int on_header(nghttp2_session* session, const nghttp2_frame* frame,
                          const std::uint8_t* name, std::size_t name_length,
--- a/lib/admission/level.cpp
+++ b/lib/admission/level.cpp
@@ -24,8 +24,7 @@
         return rank::worst();
     }
     const std::int64_t whole = first_step * ((std::int64_t{1} << periods) - 1);
-    const std::int64_t partial =
-        (first_step << periods) * (beyond % hold.count()) / hold.count();
+    const std::int64_t partial = (first_step << periods) * (beyond % hold.count()) / hold.count();
     return rank::from_value(static_cast<std::int64_t>(level.value()) + whole + partial);
 }
 
--- a/lib/codec/call_codec.cpp
+++ b/lib/codec/call_codec.cpp
@@ -68,8 +68,8 @@
 
 std::string encode_call_head(const call_context& context, const http_request& request)
 {
-    return with_length(encode(call_head{context, request.method, request.path, request.headers,
-                                        request.body_bytes()}));
+    return with_length(encode(
+        call_head{context, request.method, request.path, request.headers, request.body_bytes()}));
 }
 
 absl::StatusOr<decoded_call> decode_call(const std::string& bytes)
@@ -94,9 +94,9 @@
 
 std::string encode_reply_head(const call_reply& reply)
 {
-    return with_length(encode(reply_head{reply.result, reply.fenced, reply.answer.status,
-                                         reply.answer.headers, reply.allowance_left, reply.load,
-                                         reply.answer.body_bytes()}));
+    return with_length(
+        encode(reply_head{reply.result, reply.fenced, reply.answer.status, reply.answer.headers,
+                          reply.allowance_left, reply.load, reply.answer.body_bytes()}));
 }
 
 absl::StatusOr<call_reply> decode_reply(const std::string& bytes)
--- a/lib/consensus/raft_core.cpp
+++ b/lib/consensus/raft_core.cpp
@@ -31,9 +31,10 @@
     return "follower";
 }
 
-raft_core::raft_core(const raft_settings& settings, member_entry self,
-                     member_list initial_members, durable_state state, random_source& random)
-    : settings_(settings), self_(self.id), self_entry_(std::move(self)), random_(random), hard_(state.hard),
+raft_core::raft_core(const raft_settings& settings, member_entry self, member_list initial_members,
+                     durable_state state, random_source& random)
+    : settings_(settings), self_(self.id), self_entry_(std::move(self)), random_(random),
+      hard_(state.hard),
       log_(std::move(state.base), std::move(state.entries), std::move(initial_members)),
       commit_(log_.base().index), delivered_(log_.base().index), persisted_(log_.last_index())
 {
@@ -42,8 +43,8 @@
 std::size_t raft_core::voters() const
 {
     const member_list& members = log_.members();
-    return static_cast<std::size_t>(std::count_if(
-        members.begin(), members.end(), [](const member_entry& m) { return m.voter; }));
+    return static_cast<std::size_t>(std::count_if(members.begin(), members.end(),
+                                                  [](const member_entry& m) { return m.voter; }));
 }
 
 const member_entry* raft_core::find_member(const member_id& id) const
@@ -192,13 +193,12 @@
 
 bool raft_core::may_grant(const member_id& from, const vote_request& m, instant now) const
 {
-    const bool first_meeting =
-        m.voter_disk == 0 && log_.empty() && m.last_index == log_index(0);
+    const bool first_meeting = m.voter_disk == 0 && log_.empty() && m.last_index == log_index(0);
     if (!first_meeting && m.voter_disk != self_.disk) {
         return false;
     }
-    const bool has_leader = !m.handed_over && heard_leader_ &&
-                            now - last_leader_contact_ < settings_.election_timeout;
+    const bool has_leader =
+        !m.handed_over && heard_leader_ && now - last_leader_contact_ < settings_.election_timeout;
     if (has_leader || role_ == raft_role::leader || m.term < hard_.term || !log_is_as_new(m)) {
         return false;
     }
@@ -212,8 +212,8 @@
 {
     const bool granted = may_grant(from, m, now);
     // A refused candidate must not push up the term of a member that has a leader.
-    const bool has_leader = !m.handed_over && heard_leader_ &&
-                            now - last_leader_contact_ < settings_.election_timeout;
+    const bool has_leader =
+        !m.handed_over && heard_leader_ && now - last_leader_contact_ < settings_.election_timeout;
     const bool led = role_ == raft_role::leader || has_leader;
     if (!m.pre_vote && m.term > hard_.term && !led) {
         become_follower(m.term, now);
@@ -263,9 +263,9 @@
         // The first entry fixes who the members are, disks included.
         first.kind = entry_kind::members;
         for (const member_entry& m : log_.members()) {
-            const auto voted =
-                std::find_if(votes_.begin(), votes_.end(),
-                             [&](const member_id& id) { return id.name == m.id.name; });
+            const auto voted = std::find_if(votes_.begin(), votes_.end(), [&](const member_id& id) {
+                return id.name == m.id.name;
+            });
             assert(voted != votes_.end() && "all initial members vote when they first meet");
             first.members.push_back({*voted, m.address, m.api_address, m.voter});
         }
@@ -422,9 +422,10 @@
             const bool earlier = output_.truncate_from && *output_.truncate_from < entry.index;
             output_.truncate_from = earlier ? output_.truncate_from : entry.index;
             auto& pending = output_.append;
-            pending.erase(std::remove_if(pending.begin(), pending.end(),
-                                         [&](const log_entry& e) { return e.index >= entry.index; }),
-                          pending.end());
+            pending.erase(
+                std::remove_if(pending.begin(), pending.end(),
+                               [&](const log_entry& e) { return e.index >= entry.index; }),
+                pending.end());
         }
         log_.append(entry);
         output_.append.push_back(entry);
@@ -531,7 +532,8 @@
         send(from, snapshot_reply{hard_.term, m.index, incoming_snapshot_.size()});
         return;
     }
-    const snapshot received{m.index, m.index_term, m.members, std::exchange(incoming_snapshot_, {})};
+    const snapshot received{m.index, m.index_term, m.members,
+                            std::exchange(incoming_snapshot_, {})};
     const std::optional<log_term> held = log_.term_at(m.index);
     if (!held || *held != m.index_term) {
         log_ = replicated_log(received, {}, {});
@@ -634,8 +636,8 @@
     member_list next = log_.members();
     for (member_entry& m : next) {
         const progress& p = progress_[m.id];
-        const bool caught_up = p.match.value() + learner_lag >= log_.last_index().value() &&
-                               p.match >= log_index(1);
+        const bool caught_up =
+            p.match.value() + learner_lag >= log_.last_index().value() && p.match >= log_index(1);
         if (!m.voter && caught_up && now - p.last_heard < settings_.election_timeout) {
             m.voter = true;
             joiners_.erase(m.id);
--- a/lib/control/account_book.cpp
+++ b/lib/control/account_book.cpp
@@ -71,8 +71,8 @@
     if (!first && report.sequence <= entry.latest.sequence) {
         return;
     }
-    const bool step_over = entry.history.empty() || entry.latest.at - entry.history.back().first >=
-                                                        settings_.history_step;
+    const bool step_over = entry.history.empty() ||
+                           entry.latest.at - entry.history.back().first >= settings_.history_step;
     if (!first && step_over) {
         entry.history.emplace_back(entry.latest.at, entry.latest.rows);
         if (entry.history.size() > settings_.most_history) {
@@ -118,7 +118,8 @@
             point.at = at;
             point.rows = rows;
             point.unknown_keys.clear();
-            // History has fewer points than there were reports, so that these stay below the latest.
+            // History has fewer points than there were reports, so that these stay below the
+            // latest.
             point.sequence = ++sequence;
             all.push_back(std::move(point));
         }
@@ -152,7 +153,8 @@
     std::map<account_key, account_row> result;
     for (const auto& [key, row] : rows_at(to)) {
         const auto earlier = before.find(key);
-        const account_row range = since(row, earlier == before.end() ? account_row{} : earlier->second);
+        const account_row range =
+            since(row, earlier == before.end() ? account_row{} : earlier->second);
         if (range.received > 0) {
             result[key] = range;
         }
--- a/lib/control/control_core.cpp
+++ b/lib/control/control_core.cpp
@@ -21,7 +21,6 @@
 
 control_actions control_core::handle(const control_event& event, moment at)
 {
-    now_ = at.now;
     std::visit([&](const auto& e) { on(e, at); }, event);
     run_raft(at.now);
     return std::exchange(actions_, {});
@@ -106,8 +105,7 @@
 {
     const snapshot s = raft_.make_snapshot(applied_, state_.encode_snapshot());
     const std::uint64_t held = raft_.log().last_index().value() - applied_.value();
-    const std::vector<log_entry> rest =
-        raft_.log().slice(log_index(applied_.value() + 1), held);
+    const std::vector<log_entry> rest = raft_.log().slice(log_index(applied_.value() + 1), held);
     disk_ = store_.persist_snapshot(s, raft_.hard(), rest);
     if (disk_.ok()) {
         raft_.on_snapshot_persisted(s);
@@ -164,8 +162,8 @@
 {
     // All that former leaders decided must be applied before a lease goes out, and no bucket may
     // be on its way to another owner.
-    return raft_.leads_for_certain(now) && applied_ >= own_first_entry_ &&
-           !pending_owner_change_ && disk_.ok();
+    return raft_.leads_for_certain(now) && applied_ >= own_first_entry_ && !pending_owner_change_ &&
+           disk_.ok();
 }
 
 owner_delta control_core::owners_since(std::uint64_t known) const
@@ -196,8 +194,7 @@
     reply.owners_version = state_.owners().version;
     reply.owners = owners_since(poll.owners_version);
     reply.view = leases_.view_since(poll.view_epoch, poll.view_version);
-    const bool ready =
-        poll.record.target && poll.record.target->state == target_state::ready;
+    const bool ready = poll.record.target && poll.record.target->state == target_state::ready;
     if (poll.wants_lease && ready && grants_leases(now)) {
         reply.lease = planner_.grant(poll.record.instance, poll.record.node_incarnation,
                                      poll.owners_version, now);
@@ -207,47 +204,25 @@
 
 void control_core::on(const poll_received& event, moment at)
 {
-    leases_.on_report(event.poll.record, at.now);
-    in_force_[event.poll.record.instance] = event.poll.policies;
+    leases_.on_report(event.poll.record, event.poll.policies, at.now);
     actions_.emplace_back(answer_poll{event.request, make_poll_reply(event.poll, at.now)});
 }
 
-std::map<region_name, region_progress> control_core::own_progress() const
+std::map<region_name, region_progress> control_core::progress() const
 {
     std::map<region_name, region_progress> regions;
-    for (const auto& [instance, version] : in_force_) {
-        if (!leases_.holds(instance)) {
-            continue;
-        }
-        const auto node = leases_.nodes().find(instance);
-        if (node == leases_.nodes().end()) {
+    for (const auto& [instance, status] : leases_.nodes()) {
+        if (!status.live) {
             continue;
         }
-        region_progress& p = regions[node->second.record.place.region];
-        p.lowest = p.nodes == 0 ? version : std::min(p.lowest, version);
+        region_progress& p = regions[status.record.place.region];
+        p.lowest = p.nodes == 0 ? status.in_force : std::min(p.lowest, status.in_force);
+        p.behind += status.in_force < state_.version() ? 1 : 0;
         ++p.nodes;
-        p.behind += version < state_.version() ? 1 : 0;
     }
     return regions;
 }
 
-std::map<region_name, region_progress> control_core::progress() const
-{
-    std::map<region_name, region_progress> all = own_progress();
-    for (const auto& [member, told] : told_progress_) {
-        if (now_ - told.at > settings_.membership.member_lease) {
-            continue;
-        }
-        for (const auto& [region, p] : told.regions) {
-            region_progress& sum = all[region];
-            sum.lowest = sum.nodes == 0 ? p.lowest : std::min(sum.lowest, p.lowest);
-            sum.nodes += p.nodes;
-            sum.behind += p.behind;
-        }
-    }
-    return all;
-}
-
 member_sync control_core::make_sync(const std::string& to) const
 {
     member_sync sync;
@@ -259,7 +234,6 @@
     const auto told = acknowledged_.find(to);
     const acknowledged from = told == acknowledged_.end() ? acknowledged{} : told->second;
     sync.delta = leases_.held_since(from.epoch, from.version);
-    sync.progress = own_progress();
     return sync;
 }
 
@@ -268,7 +242,6 @@
     acknowledged_[sync.member] = {sync.known_epoch, sync.known_version};
     const std::uint64_t version = leases_.on_member_delta(sync.member, sync.delta, now);
     known_[sync.member] = {sync.delta.epoch, version};
-    told_progress_[sync.member] = {sync.progress, now};
 }
 
 void control_core::on(const member_sync_received& event, moment at)
@@ -299,8 +272,7 @@
     // former leaders is known for certain once this leader's first entry is applied.
     const change_result* known = state_.find_result(event.change.change_id);
     if (known != nullptr) {
-        actions_.emplace_back(
-            answer_change{event.request, change_outcome::decided, *known, {}});
+        actions_.emplace_back(answer_change{event.request, change_outcome::decided, *known, {}});
         return;
     }
     const bool on_its_way = pending_.count(event.change.change_id) != 0;
@@ -308,8 +280,7 @@
     if (on_its_way) {
         return;
     }
-    const absl::StatusOr<log_index> proposed =
-        raft_.propose(encode_command(event.change), at.now);
+    const absl::StatusOr<log_index> proposed = raft_.propose(encode_command(event.change), at.now);
     assert(proposed.ok() && "a leader takes proposals");
     (void)proposed;
 }
@@ -347,9 +318,10 @@
 {
     for (auto it = pending_.begin(); it != pending_.end();) {
         std::vector<pending_change>& waiting = it->second;
-        const auto late = std::stable_partition(
-            waiting.begin(), waiting.end(),
-            [&](const pending_change& p) { return now - p.since < settings_.change_timeout; });
+        const auto late =
+            std::stable_partition(waiting.begin(), waiting.end(), [&](const pending_change& p) {
+                return now - p.since < settings_.change_timeout;
+            });
         for (auto p = late; p != waiting.end(); ++p) {
             actions_.emplace_back(
                 answer_change{p->request, change_outcome::unknown, {}, leader_api()});
--- a/lib/control/member_store.cpp
+++ b/lib/control/member_store.cpp
@@ -63,8 +63,7 @@
             return damaged("identity: is missing beside a log");
         }
         const member_id id{name, fresh_disk};
-        const absl::Status written =
-            files_.replace_synced(identity_file, make_frame(encode(id)));
+        const absl::Status written = files_.replace_synced(identity_file, make_frame(encode(id)));
         if (!written.ok()) {
             return written;
         }
@@ -158,8 +157,7 @@
     return absl::OkStatus();
 }
 
-absl::StatusOr<stored_member> member_store::open(const std::string& name,
-                                                 std::uint64_t fresh_disk)
+absl::StatusOr<stored_member> member_store::open(const std::string& name, std::uint64_t fresh_disk)
 {
     stored_member member;
     const absl::StatusOr<member_id> id = open_identity(name, fresh_disk);
@@ -213,8 +211,7 @@
 absl::Status member_store::persist_snapshot(const snapshot& s, const hard_state& hard,
                                             const std::vector<log_entry>& entries)
 {
-    const absl::Status written =
-        files_.replace_synced(snapshot_file, make_frame(encode(s)));
+    const absl::Status written = files_.replace_synced(snapshot_file, make_frame(encode(s)));
     if (!written.ok()) {
         return written;
     }
--- a/lib/control/ownership_planner.cpp
+++ b/lib/control/ownership_planner.cpp
@@ -75,9 +75,8 @@
                                  owner_change& change) const
 {
     const std::size_t fair = (buckets_per_home + all.size() - 1) / all.size();
-    const bool someone_lacks = std::any_of(all.begin(), all.end(), [&](const candidate& c) {
-        return c.buckets + 1 < fair;
-    });
+    const bool someone_lacks = std::any_of(
+        all.begin(), all.end(), [&](const candidate& c) { return c.buckets + 1 < fair; });
     if (!someone_lacks) {
         return;
     }
@@ -118,9 +117,10 @@
             waiting = waiting || g.owner.value().empty();
             continue;
         }
-        const auto least = std::min_element(
-            all.begin(), all.end(),
-            [](const candidate& a, const candidate& b) { return a.buckets < b.buckets; });
+        const auto least =
+            std::min_element(all.begin(), all.end(), [](const candidate& a, const candidate& b) {
+                return a.buckets < b.buckets;
+            });
         ++least->buckets;
         change.grants.push_back({i, least->instance, least->node_incarnation});
     }
--- a/lib/daemon/control_runtime.cpp
+++ b/lib/daemon/control_runtime.cpp
@@ -74,8 +74,7 @@
     }
     files_ = std::move(*files);
     store_ = std::make_unique<member_store>(*files_);
-    absl::StatusOr<stored_member> found =
-        store_->open(settings_.instance.value(), random_() | 1U);
+    absl::StatusOr<stored_member> found = store_->open(settings_.instance.value(), random_() | 1U);
     if (!found.ok()) {
         return found.status();
     }
@@ -103,13 +102,12 @@
                {"snapshot", found_.state.base.index.value()},
                {"entries", found_.state.entries.size()}});
     server_ = std::make_unique<peer_server>(
-        loop_,
-        peer_server::handlers{[this](peer_stream_id stream, const std::string& path,
-                                     std::string body) {
-                                  on_request(stream, path, std::move(body));
-                              },
-                              [](peer_stream_id) {},
-                              [](std::uint64_t bytes) { return bytes <= most_control_bytes; }});
+        loop_, peer_server::handlers{
+                   [this](peer_stream_id stream, const std::string& path, std::string body) {
+                       on_request(stream, path, std::move(body));
+                   },
+                   [](peer_stream_id) {},
+                   [](std::uint64_t bytes) { return bytes <= most_control_bytes; }});
     return server_->listen(self.address);
 }
 
--- a/lib/daemon/daemon.cpp
+++ b/lib/daemon/daemon.cpp
@@ -77,8 +77,8 @@
 };
 
 daemon_process::daemon_process(const process_settings& settings, std::uint64_t seed)
-    : settings_(settings), traffic_random_(seed), control_random_(seed + 1),
-      traffic_loop_(clock_), control_loop_(clock_),
+    : settings_(settings), traffic_random_(seed), control_random_(seed + 1), traffic_loop_(clock_),
+      control_loop_(clock_),
       http_(http_settings_of(settings),
             {[this](exchange_id exchange, http_request request) {
                  on_http(exchange, std::move(request));
@@ -258,9 +258,8 @@
 {
     (void)query;
     const operator_entry caller = *find_operator(settings_.operators, request.headers);
-    with_member(exchange, [caller](const control_core& core) {
-        return policies_json(core.state(), caller);
-    });
+    with_member(exchange,
+                [caller](const control_core& core) { return policies_json(core.state(), caller); });
 }
 
 void daemon_process::serve_change(exchange_id exchange, const http_request& request,
@@ -299,10 +298,12 @@
         return;
     }
     case change_outcome::not_leader:
-        http_.answer(exchange, json_answer(misdirected_status, change_json(result, *control_->member())));
+        http_.answer(exchange,
+                     json_answer(misdirected_status, change_json(result, *control_->member())));
         return;
     case change_outcome::unknown:
-        http_.answer(exchange, json_answer(unavailable_status, change_json(result, *control_->member())));
+        http_.answer(exchange,
+                     json_answer(unavailable_status, change_json(result, *control_->member())));
         return;
     }
 }
--- a/lib/daemon/handover_codec.cpp
+++ b/lib/daemon/handover_codec.cpp
@@ -4,7 +4,10 @@
 
 namespace fescuedyke {
 
-template <class A> void fields(A& a, records_handed_over& x) { a(x.home, x.bucket, x.records); }
+template <class A> void fields(A& a, records_handed_over& x)
+{
+    a(x.home, x.bucket, x.records);
+}
 
 std::string encode_handover(const records_handed_over& records)
 {
--- a/lib/daemon/http_api.cpp
+++ b/lib/daemon/http_api.cpp
@@ -37,7 +37,8 @@
     std::string text(const std::string& key, bool required)
     {
         const json* value = find(key);
-        if (value == nullptr || (value->is_string() && value->get_ref<const std::string&>().empty())) {
+        if (value == nullptr ||
+            (value->is_string() && value->get_ref<const std::string&>().empty())) {
             if (required) {
                 fail(faulty(key, "is missing"));
             }
@@ -245,9 +246,8 @@
 
 bool may_act_for(const operator_entry& entry, const owner_name& owner)
 {
-    return std::any_of(entry.owners.begin(), entry.owners.end(), [&](const std::string& o) {
-        return o == "*" || o == owner.value();
-    });
+    return std::any_of(entry.owners.begin(), entry.owners.end(),
+                       [&](const std::string& o) { return o == "*" || o == owner.value(); });
 }
 
 } // namespace fescuedyke
--- a/lib/daemon/operator_json.cpp
+++ b/lib/daemon/operator_json.cpp
@@ -13,8 +13,8 @@
 
 using json = nlohmann::json;
 
-absl::StatusOr<std::optional<wall_time>>
-parse_time(const std::map<std::string, std::string>& query, const std::string& key)
+absl::StatusOr<std::optional<wall_time>> parse_time(const std::map<std::string, std::string>& query,
+                                                    const std::string& key)
 {
     const auto found = query.find(key);
     if (found == query.end()) {
@@ -31,12 +31,9 @@
 
 json policy_json(const policy_record& record)
 {
-    return {{"owner", record.owner.value()},
-            {"name", record.name},
-            {"version", record.version},
-            {"changed_in", record.changed_in.value()},
-            {"private", record.is_private},
-            {"policy", record.yaml}};
+    return {{"owner", record.owner.value()}, {"name", record.name},
+            {"version", record.version},     {"changed_in", record.changed_in.value()},
+            {"private", record.is_private},  {"policy", record.yaml}};
 }
 
 std::map<account_key, account_row> rows_for(const account_entry& entry, const account_query& query)
@@ -62,7 +59,8 @@
         source["rows"].push_back(account_row_json(key, row));
     }
     for (const unknown_key& k : latest.unknown_keys) {
-        const bool in_range = (!query.from || k.at >= *query.from) && (!query.to || k.at <= *query.to);
+        const bool in_range =
+            (!query.from || k.at >= *query.from) && (!query.to || k.at <= *query.to);
         if (in_range) {
             source["unknown_keys"].push_back({{"service", k.row.service.value()},
                                               {"key", k.key},
@@ -160,9 +158,8 @@
 {
     json regions = json::object();
     for (const auto& [region, p] : core.progress()) {
-        regions[region.value()] = {{"nodes", p.nodes},
-                                   {"behind", p.behind},
-                                   {"lowest", p.lowest.value()}};
+        regions[region.value()] = {
+            {"nodes", p.nodes}, {"behind", p.behind}, {"lowest", p.lowest.value()}};
     }
     return {{"version", core.state().version().value()}, {"regions", regions}};
 }
--- a/lib/daemon/outcome_http.cpp
+++ b/lib/daemon/outcome_http.cpp
@@ -35,8 +35,7 @@
     answer.status = status;
     answer.headers = {{"content-type", "application/json"}};
     const auto replace = nlohmann::json::error_handler_t::replace;
-    answer.body =
-        std::make_shared<const std::string>(body.dump(-1, ' ', false, replace) + "\n");
+    answer.body = std::make_shared<const std::string>(body.dump(-1, ' ', false, replace) + "\n");
     return answer;
 }
 
@@ -48,17 +47,18 @@
         return whole;
     }
     const std::string after = std::to_string(result.retry_after.count());
-    http_answer told = json_answer(status_of(result),
-                                   {{"outcome", to_string(result.kind)},
-                                    {"reason", to_string(result.reason)},
-                                    {"retry_helps", result.retry_helps},
-                                    {"retry_after_ms", result.retry_after.count()}});
+    http_answer told =
+        json_answer(status_of(result), {{"outcome", to_string(result.kind)},
+                                        {"reason", to_string(result.reason)},
+                                        {"retry_helps", result.retry_helps},
+                                        {"retry_after_ms", result.retry_after.count()}});
     told.headers.push_back({"fescue-outcome", to_string(result.kind)});
     told.headers.push_back({"fescue-reason", to_string(result.reason)});
     told.headers.push_back({"fescue-retry-helps", result.retry_helps ? "true" : "false"});
     told.headers.push_back({"fescue-retry-after", after + "ms"});
     if (result.retry_helps) {
-        const std::int64_t seconds = (result.retry_after.count() + ms_per_second - 1) / ms_per_second;
+        const std::int64_t seconds =
+            (result.retry_after.count() + ms_per_second - 1) / ms_per_second;
         told.headers.push_back({"retry-after", std::to_string(seconds)});
     }
     return told;
--- a/lib/daemon/state_json.cpp
+++ b/lib/daemon/state_json.cpp
@@ -122,10 +122,11 @@
     state["leader"] = subscriber.leader();
     state["asks"] = subscriber.chosen(now);
     for (const auto& [name, m] : subscriber.members()) {
-        state["members"][name] = {{"address", m.address.host + ":" + std::to_string(m.address.port)},
-                                  {"avoided", now < m.avoid_until},
-                                  {"beacon_age_ms", m.beacon_age.count()},
-                                  {"round_trip_ms", m.round_trip.count()}};
+        state["members"][name] = {
+            {"address", m.address.host + ":" + std::to_string(m.address.port)},
+            {"avoided", now < m.avoid_until},
+            {"beacon_age_ms", m.beacon_age.count()},
+            {"round_trip_ms", m.round_trip.count()}};
     }
     return state;
 }
--- a/lib/daemon/traffic_runtime.cpp
+++ b/lib/daemon/traffic_runtime.cpp
@@ -21,9 +21,8 @@
 
 } // namespace
 
-traffic_runtime::traffic_runtime(const node_settings& settings, event_loop& loop,
-                                 http_server& http, random_source& random,
-                                 traffic_listeners listeners)
+traffic_runtime::traffic_runtime(const node_settings& settings, event_loop& loop, http_server& http,
+                                 random_source& random, traffic_listeners listeners)
     : settings_(settings), loop_(loop), http_(http), listeners_(std::move(listeners)),
       core_(settings, random), peers_(loop),
       server_(loop, {[this](peer_stream_id stream, const std::string& path, std::string body) {
@@ -95,8 +94,7 @@
     record_.owner = settings_.owner;
     record_.target.reset();
     if (inbound.has_target()) {
-        const target_state state =
-            target_was_ready_ ? target_state::ready : target_state::draining;
+        const target_state state = target_was_ready_ ? target_state::ready : target_state::draining;
         record_.target = target_announcement{target_info_.service, target_info_.labels,
                                              target_info_.slots, state};
     }
--- a/lib/logging/json_log.cpp
+++ b/lib/logging/json_log.cpp
@@ -39,7 +39,8 @@
 {
     const std::string name = nlohmann::json(event).dump();
     const auto how = nlohmann::json::error_handler_t::replace;
-    spdlog::log(to_spdlog(level), R"("event":{},"details":{})", name, details.dump(-1, ' ', false, how));
+    spdlog::log(to_spdlog(level), R"("event":{},"details":{})", name,
+                details.dump(-1, ' ', false, how));
 }
 
 } // namespace fescuedyke
--- a/lib/membership/lease_table.cpp
+++ b/lib/membership/lease_table.cpp
@@ -12,8 +12,7 @@
 {
     const node_record& x = a.record;
     const node_record& y = b.record;
-    return a.live == b.live && x.node_incarnation == y.node_incarnation &&
-           x.sequence == y.sequence;
+    return a.live == b.live && x.node_incarnation == y.node_incarnation && x.sequence == y.sequence;
 }
 
 } // namespace
@@ -28,7 +27,7 @@
 {
 }
 
-void lease_table::on_report(const node_record& record, instant now)
+void lease_table::on_report(const node_record& record, config_version in_force, instant now)
 {
     const auto found = held_.find(record.instance);
     const bool known = found != held_.end();
@@ -38,8 +37,8 @@
     }
     held_node& node = held_[record.instance];
     node.last_heard = now;
-    const node_status next{record, true};
-    if (known && same_status(node.status, next)) {
+    const node_status next{record, true, in_force};
+    if (known && same_status(node.status, next) && node.status.in_force == in_force) {
         return;
     }
     node.status = next;
@@ -84,10 +83,12 @@
     const auto consider = [&](const node_status& s) {
         const bool later = any && is_later(s.record, best.record);
         const bool as_late = any && !later && !is_later(best.record, s.record);
+        const config_version reached = as_late ? std::max(best.in_force, s.in_force) : s.in_force;
         if (!any || later || (as_late && s.live)) {
             best = s;
             any = true;
         }
+        best.in_force = later || as_late ? reached : best.in_force;
     };
     if (const auto held = held_.find(instance); held != held_.end()) {
         consider(held->second.status);
@@ -113,6 +114,8 @@
         next.live = false;
     }
     if (known != effective_.end() && same_status(known->second, next)) {
+        // What a node has in force concerns operators, not other nodes.
+        known->second.in_force = next.in_force;
         return;
     }
     effective_[instance] = next;
@@ -183,8 +186,7 @@
 
 view_delta lease_table::view_since(std::uint64_t epoch, std::uint64_t known) const
 {
-    const bool whole =
-        epoch != epoch_ || known == 0 || known > version_ || known < oldest_delta_;
+    const bool whole = epoch != epoch_ || known == 0 || known > version_ || known < oldest_delta_;
     view_delta delta;
     delta.epoch = epoch_;
     delta.from = whole ? 0 : known;
--- a/lib/node/caller_headers.cpp
+++ b/lib/node/caller_headers.cpp
@@ -16,8 +16,8 @@
 constexpr std::int64_t longest_timeout_ms = 10 * 60 * 1000;
 
 constexpr std::array<const char*, 9> connection_headers = {
-    "connection", "keep-alive",        "content-length", "transfer-encoding", "te",
-    "upgrade",    "proxy-connection", "host",           "expect"};
+    "connection",       "keep-alive", "content-length", "transfer-encoding", "te", "upgrade",
+    "proxy-connection", "host",       "expect"};
 
 absl::Status faulty(const char* name, const std::string& what)
 {
--- a/lib/node/inbound_calls.cpp
+++ b/lib/node/inbound_calls.cpp
@@ -152,7 +152,8 @@
 {
     call.at = inbound_call::stage::running;
     call.dispatched = now;
-    actions_.emplace_back(dispatch_call{call.id, call.request, call_token(call.id), call.context.idempotent});
+    actions_.emplace_back(
+        dispatch_call{call.id, call.request, call_token(call.id), call.context.idempotent});
 }
 
 load_report inbound_calls::load(flow_id flow, instant now) const
@@ -162,8 +163,7 @@
         report = admission_->report(now);
     }
     for (const service_name& service : dependencies_.services(flow, now)) {
-        report.chain_level =
-            std::min(report.chain_level, chooser_.chain_level(service, flow, now));
+        report.chain_level = std::min(report.chain_level, chooser_.chain_level(service, flow, now));
     }
     return report;
 }
@@ -424,8 +424,7 @@
 inbound_call* inbound_calls::serving(inbound_id id)
 {
     const auto found = calls_.find(id);
-    const bool running =
-        found != calls_.end() && found->second.at == inbound_call::stage::running;
+    const bool running = found != calls_.end() && found->second.at == inbound_call::stage::running;
     return running ? &found->second : nullptr;
 }
 
--- a/lib/node/outbound_calls.cpp
+++ b/lib/node/outbound_calls.cpp
@@ -121,8 +121,7 @@
 
 policy outbound_calls::governing_policy(const outbound_call& call, const target_info& any) const
 {
-    const policy* matched =
-        policies_->match(any.owner, service_labels(any), request_labels(call));
+    const policy* matched = policies_->match(any.owner, service_labels(any), request_labels(call));
     return matched != nullptr ? *matched : default_policy(call.request->method);
 }
 
@@ -148,8 +147,8 @@
     call.context.key = governing.idempotent ? "" : call.options.key;
     call.context.client_attempt = call.options.client_attempt;
     call.context.labels = call.options.labels;
-    call.deadline = now + std::min(governing.deadline,
-                                   call.options.timeout.value_or(governing.deadline));
+    call.deadline =
+        now + std::min(governing.deadline, call.options.timeout.value_or(governing.deadline));
     if (call.options.parent) {
         return inherit(call, now);
     }
@@ -191,8 +190,7 @@
 {
     const absl::StatusOr<idempotency_key> key = parse_idempotency_key(call.context.key);
     assert(key.ok() && "keys are checked at the entry");
-    const bucket_grant* grant =
-        owners_ ? owners_->find(call.context.service, *key) : nullptr;
+    const bucket_grant* grant = owners_ ? owners_->find(call.context.service, *key) : nullptr;
     if (grant == nullptr || grant->owner.value().empty()) {
         return refused(outcome_reason::not_owner);
     }
@@ -229,7 +227,7 @@
 void outbound_calls::try_once(outbound_call& call, instant now)
 {
     if (const std::optional<outcome> refusal = choose_target(call, now)) {
-        end(call.id, *refusal, false, {});
+        end(call.id, call.last_result.value_or(*refusal), false, {});
         return;
     }
     call.lent = call.allowance.lend();
@@ -300,8 +298,7 @@
     if (!call.context.idempotent || call.allowance.left() == 0) {
         return false;
     }
-    const bool elsewhere =
-        result.kind == outcome_kind::unknown || is_local_refusal(result.reason);
+    const bool elsewhere = result.kind == outcome_kind::unknown || is_local_refusal(result.reason);
     const millis left = call.deadline - now;
     if (!elsewhere || left <= chooser_.expected_time(call.context.service)) {
         return false;
@@ -315,6 +312,7 @@
 void outbound_calls::next_step(outbound_call& call, const outcome& result, bool fenced,
                                const http_answer& answer, instant now)
 {
+    call.last_result = result;
     call.may_have_run = call.may_have_run || result.kind == outcome_kind::unknown;
     if (result.kind == outcome_kind::answered || !may_retry(call, result, now)) {
         end(call.id, result, fenced, answer);
@@ -362,12 +360,10 @@
     if (call.attempt_open) {
         const bool speaks_against = reason == outcome_reason::timed_out;
         chooser_.on_no_reply(call.context.service, call.target.instance, speaks_against, now);
-        actions_.emplace_back(
-            cancel_call{call.target.instance, call.id, call.context.attempt});
+        actions_.emplace_back(cancel_call{call.target.instance, call.id, call.context.attempt});
         call.may_have_run = true;
     }
-    const outcome result =
-        call.may_have_run ? outcome::unknown(reason) : outcome::not_run(reason);
+    const outcome result = call.may_have_run ? outcome::unknown(reason) : outcome::not_run(reason);
     end(call.id, result, false, {});
 }
 
--- a/lib/operator/account_merge.cpp
+++ b/lib/operator/account_merge.cpp
@@ -66,7 +66,8 @@
 {
     std::string text;
     for (const auto& [reason, count] : reasons.items()) {
-        text += (text.empty() ? "" : ", ") + std::to_string(count.get<std::uint64_t>()) + " " + reason;
+        text +=
+            (text.empty() ? "" : ", ") + std::to_string(count.get<std::uint64_t>()) + " " + reason;
     }
     return text;
 }
--- a/lib/operator/commands.cpp
+++ b/lib/operator/commands.cpp
@@ -161,13 +161,13 @@
     {
         const absl::StatusOr<api_answer> answer = client_.change(change.dump());
         if (!answer.ok()) {
-            std::cerr << answer.status().message() << "; send the same change again with --change-id "
+            std::cerr << answer.status().message()
+                      << "; send the same change again with --change-id "
                       << change["change_id"].get<std::string>() << "\n";
             return code(exit_code::unavailable);
         }
         if (answer->status == conflict_status) {
-            std::cerr << "conflict: version " << answer->body["policy_version"]
-                      << " is in force\n";
+            std::cerr << "conflict: version " << answer->body["policy_version"] << " is in force\n";
             return code(exit_code::conflict);
         }
         if (const int error = refused(*answer); error != 0) {
@@ -179,7 +179,8 @@
     int report_in_force(json result)
     {
         const std::uint64_t version = result["version"];
-        const auto until = std::chrono::steady_clock::now() + std::chrono::milliseconds(line_.wait_ms);
+        const auto until =
+            std::chrono::steady_clock::now() + std::chrono::milliseconds(line_.wait_ms);
         bool everywhere = false;
         while (!everywhere && std::chrono::steady_clock::now() < until) {
             const absl::StatusOr<api_answer> answer = client_.ask_any("/v1/progress");
@@ -231,9 +232,8 @@
         }
         std::stringstream yaml;
         yaml << file.rdbuf();
-        const json change = {{"change_id", new_change_id()},
-                             {"based_on", line_.based_on},
-                             {"policy", yaml.str()}};
+        const json change = {
+            {"change_id", new_change_id()}, {"based_on", line_.based_on}, {"policy", yaml.str()}};
         return send_change(change);
     }
 
--- a/lib/operator/member_client.cpp
+++ b/lib/operator/member_client.cpp
@@ -37,8 +37,8 @@
 {
 }
 
-absl::StatusOr<api_answer> member_client::ask(const std::string& address,
-                                              const std::string& method, const std::string& path,
+absl::StatusOr<api_answer> member_client::ask(const std::string& address, const std::string& method,
+                                              const std::string& path,
                                               const std::string& body) const
 {
     const std::unique_ptr<CURL, decltype(&curl_easy_cleanup)> easy(curl_easy_init(),
@@ -115,8 +115,8 @@
             }
             last = answer.ok() ? absl::UnavailableError("the outcome of the change is not known")
                                : answer.status();
-            const bool told = answer.ok() && answer->body.is_object() &&
-                              answer->body.contains("leader");
+            const bool told =
+                answer.ok() && answer->body.is_object() && answer->body.contains("leader");
             if (told && answer->body["leader"] != member) {
                 hint = answer->body["leader"].get<std::string>();
                 break;
--- a/lib/retry/retry.cpp
+++ b/lib/retry/retry.cpp
@@ -26,9 +26,7 @@
     left_ += std::clamp(unused, 0, lent);
 }
 
-pair_budget::pair_budget(double share, double most) : share_(share), most_(most), tokens_(most)
-{
-}
+pair_budget::pair_budget(double share, double most) : share_(share), most_(most), tokens_(most) {}
 
 void pair_budget::on_success()
 {
--- a/lib/routing/target_chooser.cpp
+++ b/lib/routing/target_chooser.cpp
@@ -215,9 +215,8 @@
     if (found == targets_.end()) {
         return nullptr;
     }
-    const auto target =
-        std::find_if(found->second.begin(), found->second.end(),
-                     [&](const target_info& t) { return t.instance == instance; });
+    const auto target = std::find_if(found->second.begin(), found->second.end(),
+                                     [&](const target_info& t) { return t.instance == instance; });
     return target == found->second.end() ? nullptr : &*target;
 }
 
--- a/lib/subscription/config_subscriber.cpp
+++ b/lib/subscription/config_subscriber.cpp
@@ -88,8 +88,12 @@
         outgoing_poll p;
         p.number = next_number_++;
         p.address = members_[name].address;
-        p.poll = {record_, version_, owners_.version, view_.known_epoch(name),
-                  view_.known_version(name), wants_lease_};
+        p.poll = {record_,
+                  version_,
+                  owners_.version,
+                  view_.known_epoch(name),
+                  view_.known_version(name),
+                  wants_lease_};
         open_[p.number] = {name, now};
         output.polls.push_back(std::move(p));
     }
@@ -148,8 +152,7 @@
     take_owners(reply, output);
     take_view(reply, output);
     if (reply.lease) {
-        output.events.emplace_back(
-            lease_renewed{asked.sent + *reply.lease, reply.owners_version});
+        output.events.emplace_back(lease_renewed{asked.sent + *reply.lease, reply.owners_version});
     }
     return output;
 }
@@ -202,8 +205,7 @@
 {
     view_.on_delta(reply.member, reply.view);
     if (view_.changed()) {
-        output.events.emplace_back(
-            targets_in_view{std::make_shared<target_view>(view_.build())});
+        output.events.emplace_back(targets_in_view{std::make_shared<target_view>(view_.build())});
     }
 }
 
--- a/lib/transport/h2_connection.cpp
+++ b/lib/transport/h2_connection.cpp
@@ -396,8 +396,8 @@
             unsent_from_ = 0;
             return true;
         }
-        const ssize_t sent = ::send(fd_, unsent_.data() + unsent_from_,
-                                    unsent_.size() - unsent_from_, MSG_NOSIGNAL);
+        const ssize_t sent =
+            ::send(fd_, unsent_.data() + unsent_from_, unsent_.size() - unsent_from_, MSG_NOSIGNAL);
         if (sent < 0) {
             return errno == EAGAIN || errno == EINTR;
         }
@@ -472,8 +472,8 @@
         if (!state.complete) {
             // The other side acts on whole requests only, so that nothing of a connection that was
             // never made can have been processed.
-            events_.on_failure(stream, connected_ ? stream_failure::lost
-                                                  : stream_failure::never_processed);
+            events_.on_failure(stream,
+                               connected_ ? stream_failure::lost : stream_failure::never_processed);
         }
     }
 }
--- a/lib/transport/http_server.cpp
+++ b/lib/transport/http_server.cpp
@@ -31,6 +31,25 @@
     return name == "content-length" || name == "transfer-encoding" || name == "connection";
 }
 
+/// Pistache writes only typed headers; this one has its name and value as they are.
+class named_header final : public http::Header::Header {
+public:
+    explicit named_header(const header& h) : name_(h.name), value_(h.value) {}
+
+    const char* name() const override { return name_.c_str(); }
+    void write(std::ostream& stream) const override { stream << value_; }
+#ifdef SAFE_HEADER_CAST
+    std::uint64_t hash() const override
+    {
+        return std::hash<std::string>{}(name_);
+    }
+#endif
+
+private:
+    std::string name_;
+    std::string value_;
+};
+
 http_request take_request(const http::Request& from)
 {
     http_request request;
@@ -147,12 +166,12 @@
 
     absl::Status start()
     {
-        const auto options = http::Endpoint::options()
-                                 .threads(settings_.threads)
-                                 .flags(Pistache::Tcp::Options::ReuseAddr |
-                                        Pistache::Tcp::Options::NoDelay)
-                                 .maxRequestSize(settings_.max_request_bytes)
-                                 .maxResponseSize(settings_.max_request_bytes);
+        const auto options =
+            http::Endpoint::options()
+                .threads(settings_.threads)
+                .flags(Pistache::Tcp::Options::ReuseAddr | Pistache::Tcp::Options::NoDelay)
+                .maxRequestSize(settings_.max_request_bytes)
+                .maxResponseSize(settings_.max_request_bytes);
         try {
             endpoint_.init(options);
             endpoint_.setHandler(http::make_handler<exchange_handler>(table_, handlers_));
@@ -173,7 +192,7 @@
         }
         for (const header& h : a.headers) {
             if (!set_by_server(h.name)) {
-                writer->headers().addRaw(http::Header::Raw(h.name, h.value));
+                writer->headers().add(std::make_shared<named_header>(h));
             }
         }
         const std::size_t size = a.body_bytes();
--- a/lib/transport/peer_client.cpp
+++ b/lib/transport/peer_client.cpp
@@ -100,9 +100,9 @@
         retired_.push_back(std::move(found->second));
         links_.erase(found);
     }
-    retired_.erase(std::remove_if(retired_.begin(), retired_.end(),
-                                  [](const auto& l) { return l->closed(); }),
-                   retired_.end());
+    retired_.erase(
+        std::remove_if(retired_.begin(), retired_.end(), [](const auto& l) { return l->closed(); }),
+        retired_.end());
 }
 
 peer_request_id peer_client::send(const endpoint& address, const std::string& path, frame body,
--- a/tools/fescuedyke/main.cpp
+++ b/tools/fescuedyke/main.cpp
@@ -29,8 +29,8 @@
         std::cout << path << ": ok\n";
         return 0;
     }
-    const std::uint64_t seed = given.count("seed") != 0 ? given["seed"].as<std::uint64_t>()
-                                                        : std::random_device{}();
+    const std::uint64_t seed =
+        given.count("seed") != 0 ? given["seed"].as<std::uint64_t>() : std::random_device{}();
     fescuedyke::start_log(settings->instance.value(), settings->log_level);
     fescuedyke::write_log(fescuedyke::log_level::info, "seed", {{"seed", seed}});
     curl_global_init(CURL_GLOBAL_DEFAULT);
