Measure overload of deep chains against three baselines

Cause: the worth of the product is goodput and recovery under overload. Tests for a vote that outlives a restart and for leases of a leader that lost its quorum; mutations had shown that neither was covered (votes not made durable, and leases granted without a quorum, both passed all tests).

--- a/bench/world/world.cpp
+++ b/bench/world/world.cpp
@@ -2,6 +2,7 @@
 
 #include "fescuedyke/node/caller_headers.h"
 
+#include <algorithm>
 #include <cassert>
 #include <stdexcept>
 
@@ -92,7 +93,7 @@
             t.place = {region_name(o.region), zone_name(o.zone)};
             t.service = service_name(o.service);
             t.owner = owner_name(o.owner);
-            t.slots = o.slots;
+            t.slots = o.announced_slots > 0 ? o.announced_slots : o.slots;
             view->services[t.service].push_back(t);
         }
     }
@@ -106,7 +107,8 @@
         handle(name, owners_in_force{table});
         target_announced a;
         a.service = service_name(s.options.service);
-        a.slots = s.options.slots;
+        const site_options& o = s.options;
+        a.slots = o.announced_slots > 0 ? o.announced_slots : o.slots;
         a.lease = forever;
         a.target_incarnation = 1;
         handle(name, a);
@@ -180,6 +182,7 @@
     add(labels_header, request.labels);
     add(key_header, request.key);
     add("x-key", request.key);
+    add("x-tag", request.tag);
     add(attempt_header, request.attempt > 0 ? std::to_string(request.attempt) : "");
     const bool limited = request.timeout > millis(0);
     add(timeout_header, limited ? std::to_string(request.timeout.count()) + "ms" : "");
@@ -233,13 +236,18 @@
     const std::uint64_t id = next_exchange_++;
     streams_[id] = {from, to, a.context.call, a.context.attempt};
     stream_of_[{a.context.call.value(), a.context.attempt}] = id;
+    call_context context = a.context;
+    if (redraw_lots_) {
+        context.order =
+            rank(context.order.cls(), static_cast<std::uint16_t>(draw_below(random_, 65'536)));
+    }
     deliver(from, to, [=] {
         if (!sites_.at(to).core) {
             handle(from,
                    peer_failed{a.context.call, a.context.attempt, peer_failure::never_processed});
             return;
         }
-        handle(to, peer_call{exchange_id(id), a.context, a.request});
+        handle(to, peer_call{exchange_id(id), context, a.request});
     });
 }
 
@@ -266,14 +274,27 @@
 {
     const std::string name = s.options.name;
     const inbound_id call = a.call;
-    if (static_cast<int>(s.running.size()) >= s.options.slots) {
-        http_answer shed{503, {{not_run_header, "true"}}, nullptr};
-        at(millis(0), [=] { handle(name, target_answered{call, shed}); });
+    if (static_cast<int>(s.running.size()) < s.options.slots) {
+        begin(s, a);
+        return;
+    }
+    if (s.queued.size() < s.options.queue) {
+        s.queued.push_back(a);
         return;
     }
+    http_answer shed{503, {{not_run_header, "true"}}, nullptr};
+    at(millis(0), [=] { handle(name, target_answered{call, shed}); });
+}
+
+void simulation::begin(site& s, const dispatch_call& a)
+{
+    const std::string name = s.options.name;
+    const inbound_id call = a.call;
     ++dispatched_;
     const std::string* key = find_header(a.request->headers, "x-key");
-    runs_.push_back({s.options.service, key != nullptr ? *key : "", now_, now_, false});
+    const std::string* tag = find_header(a.request->headers, "x-tag");
+    runs_.push_back({s.options.service, key != nullptr ? *key : "", tag != nullptr ? *tag : "",
+                     now_, now_, false});
     s.running[call] = {runs_.size() - 1, 0, a.token};
     const auto spread = static_cast<std::int64_t>(draw_below(random_, 41)) - 20;
     const millis time(s.options.service_time.count() * (100 + spread) / 100);
@@ -301,7 +322,7 @@
     auto http = std::make_shared<http_request>();
     http->method = "GET";
     http->path = "/" + service;
-    http->headers = {{call_header, run.token}};
+    http->headers = {{call_header, run.token}, {"x-tag", runs_[run.entry].tag}};
     const exchange_id exchange(next_exchange_++);
     s.waiting[exchange] = [=](const outcome& o, const http_answer& answer) {
         const bool good = o.kind == outcome_kind::answered && answer.status == 200;
@@ -327,6 +348,11 @@
     entry.completed = completed;
     slot_time_ += now_ - entry.began;
     s.running.erase(found);
+    if (!s.queued.empty()) {
+        const dispatch_call next = s.queued.front();
+        s.queued.erase(s.queued.begin());
+        begin(s, next);
+    }
 }
 
 void simulation::finish(site& s, inbound_id call, int status)
@@ -343,6 +369,12 @@
 
 void simulation::carry_out(site& s, const cancel_dispatch& a)
 {
+    const auto waiting = std::find_if(s.queued.begin(), s.queued.end(),
+                                      [&](const dispatch_call& q) { return q.call == a.call; });
+    if (waiting != s.queued.end()) {
+        s.queued.erase(waiting);
+        return;
+    }
     end_run(s, a.call, false);
 }
 
@@ -351,6 +383,7 @@
     site& s = sites_.at(name);
     s.core.reset();
     ++s.starts;
+    s.queued.clear();
     while (!s.running.empty()) {
         end_run(s, s.running.begin()->first, false);
     }
--- a/bench/world/world.h
+++ b/bench/world/world.h
@@ -22,6 +22,11 @@
     std::string name;
     std::string service;
     int slots = 4;
+    /// Slots that the target tells its node; 0 for the true number.
+    int announced_slots = 0;
+    /// Calls over its slots that the target keeps waiting, first come first served, before it
+    /// sheds.
+    std::size_t queue = 0;
     /// Service time of one call, without the calls it makes.
     millis service_time{10};
     /// Services that every run calls on to, one after the other.
@@ -41,12 +46,15 @@
     int attempt = 0;
     millis timeout{0};
     std::size_t body_bytes = 0;
+    /// Goes down the whole tree of calls and stands in its runs.
+    std::string tag;
 };
 
 /// One run at a target.
 struct run_entry {
     std::string service;
     std::string key;
+    std::string tag;
     instant began;
     instant ended;
     bool completed = false;
@@ -76,6 +84,8 @@
     random_source& random() { return random_; }
     node_core& core(const std::string& site);
 
+    /// Calls draw a lot of their own at every hop from now on.
+    void redraw_lots() { redraw_lots_ = true; }
     void set_service_time(const std::string& service, millis time);
     void handle(const std::string& site, const node_event& event);
     /// The link loses every message between the two sites from now on, silently.
@@ -111,6 +121,7 @@
         std::unique_ptr<random_source> random;
         std::unique_ptr<node_core> core;
         std::map<inbound_id, target_run> running;
+        std::vector<dispatch_call> queued;
         std::map<exchange_id, outcome_callback> waiting;
     };
     struct stream {
@@ -145,6 +156,7 @@
     void carry_out(site& s, const dispatch_call& a);
     void carry_out(site& s, const cancel_dispatch& a);
     void carry_out(site& s, const reply_call& a);
+    void begin(site& s, const dispatch_call& a);
     void call_on(const std::string& name, inbound_id call);
     void finish(site& s, inbound_id call, int status);
     void end_run(site& s, inbound_id call, bool completed);
@@ -165,6 +177,7 @@
     bucket_table owners_;
     std::shared_ptr<const policy_set> policies_;
     std::uint64_t view_version_ = 0;
+    bool redraw_lots_ = false;
 };
 
 } // namespace fescuedyke::world
--- a/unittests/control/control_cluster_test.cpp
+++ b/unittests/control/control_cluster_test.cpp
@@ -233,12 +233,48 @@
     c.run_for(millis(500));
     c.poll(leader, poll, [&](const poll_reply& r) { lease = r.lease; });
     EXPECT_TRUE(lease.has_value());
+    // Time for the buckets to be assigned, so that no change of owners is on its way.
+    c.run_for(millis(300));
+    ASSERT_GT(c.core(leader).state().owners().version, 0U);
     c.cut_off(leader);
     c.run_for(millis(700));
+    ASSERT_TRUE(c.core(leader).raft().is_leader());
     c.poll(leader, poll, [&](const poll_reply& r) { lease = r.lease; });
     EXPECT_FALSE(lease.has_value()) << "a leader without its quorum renewed a lease";
 }
 
+TEST(raft_core, a_vote_outlives_a_restart)
+{
+    cluster::fake_disk disk;
+    member_store store(disk);
+    random_source random(1);
+    const auto start = [&](member_store& from) {
+        const absl::StatusOr<stored_member> found = from.open("m1", 7);
+        EXPECT_TRUE(found.ok());
+        member_list initial(3);
+        initial[0].id = found->id;
+        initial[1].id.name = "m2";
+        initial[2].id.name = "m3";
+        return raft_core({}, initial[0], initial, found->state, random);
+    };
+    const auto ask = [&](raft_core& core, const char* candidate) {
+        vote_request request;
+        request.term = log_term(5);
+        core.receive({{candidate, 9}, request}, instant(100'000));
+        const raft_output output = core.take_output();
+        if (output.must_persist()) {
+            EXPECT_TRUE(store.persist(output).ok());
+            core.on_persisted();
+        }
+        return std::get<vote_reply>(output.messages.at(0).message.body).granted;
+    };
+    raft_core before = start(store);
+    EXPECT_TRUE(ask(before, "m2"));
+    raft_core after = start(store);
+    EXPECT_FALSE(ask(after, "m3")) << "two votes in one term";
+    EXPECT_TRUE(ask(after, "m2"));
+}
+
 /// One fault drawn at random.
 void disturb(control_cluster& c)
 {
