Refuse repeated and late copies of unrepeatable calls

Cause: a copy of a call that the network delivers again could run after its first was refused 'not run' by a node that did not own the key yet; found by at_most_once.no_key_runs_twice_and_not_run_is_true_whatever_fails once links repeat messages and clocks are skewed. Change: an attempt tells when it was sent; the receiver takes each attempt of unrepeatable work once and none after its time. Ruled out: a fence for keys it does not own, which a later owner would not know.

--- a/bench/world/world.cpp
+++ b/bench/world/world.cpp
@@ -163,7 +163,7 @@
 {
     site& s = sites_.at(name);
     if (s.core) {
-        carry_out(s, s.core->handle(event, {now_, wall()}));
+        carry_out(s, s.core->handle(event, {now_, wall() + s.skew}));
     }
 }
 
@@ -241,6 +241,12 @@
         context.order =
             rank(context.order.cls(), static_cast<std::uint16_t>(draw_below(random_, 65'536)));
     }
+    if (static_cast<int>(draw_below(random_, 100)) < repeat_share_) {
+        const auto most = static_cast<std::uint64_t>(repeat_delay_.count());
+        at(millis(static_cast<std::int64_t>(draw_below(random_, most))), [=] {
+            handle(to, peer_call{exchange_id(id), context, a.request});
+        });
+    }
     deliver(from, to, [=] {
         if (!sites_.at(to).core) {
             handle(from,
--- a/bench/world/world.h
+++ b/bench/world/world.h
@@ -91,6 +91,14 @@
     /// The link loses every message between the two sites from now on, silently.
     void cut(const std::string& a, const std::string& b) { cut_.insert(ordered(a, b)); }
     void mend(const std::string& a, const std::string& b) { cut_.erase(ordered(a, b)); }
+    /// The wall clock of a site's node is off by this.
+    void set_skew(const std::string& name, millis skew) { sites_.at(name).skew = skew; }
+    /// Calls between nodes arrive twice for this share of a hundred, the second time late.
+    void set_repeats(int share, millis most_delay)
+    {
+        repeat_share_ = share;
+        repeat_delay_ = most_delay;
+    }
     /// Ends the process of a node with all it knew; open streams to it break.
     void crash(const std::string& site);
     /// Starts the node of a site again as the next incarnation.
@@ -118,6 +126,7 @@
     struct site {
         site_options options;
         std::uint64_t starts = 0;
+        millis skew;
         std::unique_ptr<random_source> random;
         std::unique_ptr<node_core> core;
         std::map<inbound_id, target_run> running;
@@ -178,6 +187,8 @@
     std::shared_ptr<const policy_set> policies_;
     std::uint64_t view_version_ = 0;
     bool redraw_lots_ = false;
+    int repeat_share_ = 0;
+    millis repeat_delay_;
 };
 
 } // namespace fescuedyke::world
--- a/include/fescuedyke/call/context.h
+++ b/include/fescuedyke/call/context.h
@@ -29,6 +29,8 @@
     int depth = 0;
     /// Time left for the whole call when it was sent.
     millis time_left;
+    /// The origin's wall clock when the attempt was sent.
+    wall_time sent;
     /// Retries lent to this attempt and all below it.
     int allowance = 0;
     bool idempotent = false;
--- a/include/fescuedyke/codec/common_fields.h
+++ b/include/fescuedyke/codec/common_fields.h
@@ -65,7 +65,7 @@
 }
 template <class A> void fields(A& a, call_context& x)
 {
-    a(x.call, x.root, x.flow, x.origin, x.service, x.order, x.attempt, x.depth, x.time_left,
+    a(x.call, x.root, x.flow, x.origin, x.service, x.order, x.attempt, x.depth, x.time_left, x.sent,
       x.allowance, x.idempotent, x.key, x.client_attempt, x.labels);
 }
 template <class A> void fields(A& a, endpoint& x)
--- a/include/fescuedyke/node/inbound_calls.h
+++ b/include/fescuedyke/node/inbound_calls.h
@@ -71,6 +71,7 @@
     const run_registry& registry() const { return registry_; }
 
 private:
+    bool is_late_or_repeated(const call_context& context, moment at);
     std::optional<outcome> refusal_before_admission(const call_context& context, instant now) const;
     void admit(inbound_call& call, instant now);
     void begin_keyed(inbound_call& call, moment at);
@@ -108,6 +109,9 @@
     std::map<exchange_id, inbound_id> by_stream_;
     std::map<std::pair<call_id, int>, inbound_id> by_attempt_;
     std::map<std::string, inbound_id> runs_by_key_;
+    /// Attempts of unrepeatable work that came in, until no copy of them can be taken any more.
+    std::set<std::pair<call_id, int>> seen_;
+    std::multimap<instant, std::pair<call_id, int>> seen_until_;
     std::map<std::string, std::vector<inbound_id>> joined_;
     std::vector<inbound_id> ended_;
 };
--- a/include/fescuedyke/node/outbound_calls.h
+++ b/include/fescuedyke/node/outbound_calls.h
@@ -52,10 +52,10 @@
                    flow_dependencies& dependencies, inbound_calls& inbound, account& accounts,
                    random_source& random, node_actions& actions);
 
-    void on_request(const caller_request& event, instant now);
+    void on_request(const caller_request& event, moment at);
     void on_caller_gone(exchange_id exchange, instant now);
-    void on_reply(const peer_reply& event, instant now);
-    void on_peer_failed(const peer_failed& event, instant now);
+    void on_reply(const peer_reply& event, moment at);
+    void on_peer_failed(const peer_failed& event, moment at);
     void on_policies(std::shared_ptr<const policy_set> policies);
     void on_owners(std::shared_ptr<const bucket_table> owners);
     void on_stopping() { stopping_ = true; }
@@ -78,10 +78,10 @@
     policy governing_policy(const outbound_call& call, const target_info& any) const;
     std::optional<outcome> choose_target(outbound_call& call, instant now);
     std::optional<outcome> choose_owner(outbound_call& call) const;
-    void try_once(outbound_call& call, instant now);
+    void try_once(outbound_call& call, moment at);
     bool may_retry(const outbound_call& call, const outcome& result, instant now);
     void next_step(outbound_call& call, const outcome& result, bool fenced,
-                   const http_answer& answer, instant now);
+                   const http_answer& answer, moment at);
     void end(call_id id, const outcome& result, bool fenced, const http_answer& answer);
     void close_attempt(outbound_call& call);
     void cancel(outbound_call& call, outcome_reason reason, instant now);
--- a/lib/node/inbound_calls.cpp
+++ b/lib/node/inbound_calls.cpp
@@ -57,9 +57,29 @@
     return std::nullopt;
 }
 
+bool inbound_calls::is_late_or_repeated(const call_context& context, moment at)
+{
+    // A copy that the network delivers again must not run after its first was refused as "not run".
+    // Copies that arrive after all time is up are told by the wall clock, so that the others need
+    // to be remembered only as long.
+    const millis error = settings_.registry.clock_error;
+    if (at.wall > context.sent + context.time_left + error) {
+        return true;
+    }
+    const std::pair<call_id, int> attempt{context.call, context.attempt};
+    if (!seen_.insert(attempt).second) {
+        return true;
+    }
+    seen_until_.emplace(at.now + context.time_left + error * 2, attempt);
+    return false;
+}
+
 void inbound_calls::on_call(const call_context& context, const shared_request& request,
                             const reply_address& reply_to, moment at)
 {
+    if (!context.idempotent && is_late_or_repeated(context, at)) {
+        return;
+    }
     const inbound_id id(next_id_++);
     inbound_call& call = calls_[id];
     call.id = id;
@@ -412,6 +432,10 @@
 
 void inbound_calls::expire(moment at)
 {
+    while (!seen_until_.empty() && seen_until_.begin()->first <= at.now) {
+        seen_.erase(seen_until_.begin()->second);
+        seen_until_.erase(seen_until_.begin());
+    }
     if (!admission_) {
         return;
     }
--- a/lib/node/node_core.cpp
+++ b/lib/node/node_core.cpp
@@ -66,7 +66,7 @@
         if (local == nullptr) {
             return false;
         }
-        outbound_.on_reply({local->call, local->attempt, reply->reply}, at.now);
+        outbound_.on_reply({local->call, local->attempt, reply->reply}, at);
         return true;
     }
     return false;
@@ -86,7 +86,7 @@
 
 void node_core::on(const caller_request& event, moment at)
 {
-    outbound_.on_request(event, at.now);
+    outbound_.on_request(event, at);
 }
 
 void node_core::on(const caller_gone& event, moment at)
@@ -106,12 +106,12 @@
 
 void node_core::on(const peer_reply& event, moment at)
 {
-    outbound_.on_reply(event, at.now);
+    outbound_.on_reply(event, at);
 }
 
 void node_core::on(const peer_failed& event, moment at)
 {
-    outbound_.on_peer_failed(event, at.now);
+    outbound_.on_peer_failed(event, at);
 }
 
 void node_core::on(const target_answered& event, moment at)
--- a/lib/node/outbound_calls.cpp
+++ b/lib/node/outbound_calls.cpp
@@ -88,8 +88,9 @@
     actions_.emplace_back(answer_caller{event.exchange, result, {}});
 }
 
-void outbound_calls::on_request(const caller_request& event, instant now)
+void outbound_calls::on_request(const caller_request& event, moment at)
 {
+    const instant now = at.now;
     const absl::StatusOr<caller_options> options = read_caller_options(event.request->headers);
     if (const std::optional<outcome> refusal = refusal_at_entry(event, options)) {
         refuse(event, *refusal, event.service, priority_class::normal);
@@ -119,7 +120,7 @@
         by_parent_[*call.options.parent].insert(call.id);
     }
     outbound_call& kept = calls_.emplace(call.id, std::move(call)).first->second;
-    try_once(kept, now);
+    try_once(kept, at);
 }
 
 policy outbound_calls::governing_policy(const outbound_call& call, const target_info& any) const
@@ -228,8 +229,9 @@
     return refused(not_admitted ? outcome_reason::service_overloaded : outcome_reason::no_target);
 }
 
-void outbound_calls::try_once(outbound_call& call, instant now)
+void outbound_calls::try_once(outbound_call& call, moment at)
 {
+    const instant now = at.now;
     if (const std::optional<outcome> refusal = choose_target(call, now)) {
         end(call.id, call.last_result.value_or(*refusal), false, {});
         return;
@@ -239,6 +241,7 @@
     call.lent = call.allowance.lend(hops);
     call.attempt_open = true;
     call.context.time_left = call.deadline - now;
+    call.context.sent = at.wall;
     call.context.allowance = call.lent;
     chooser_.on_sent(call.context.service, call.target.instance);
     if (call.target.place.region != settings_.place.region) {
@@ -263,8 +266,9 @@
     call.tried.insert(call.target.instance);
 }
 
-void outbound_calls::on_reply(const peer_reply& event, instant now)
+void outbound_calls::on_reply(const peer_reply& event, moment at)
 {
+    const instant now = at.now;
     outbound_call* call = find_attempt(event.call, event.attempt);
     if (call == nullptr) {
         return;
@@ -281,11 +285,12 @@
     if (event.reply.result.kind == outcome_kind::answered) {
         budget_of(context.service).on_success();
     }
-    next_step(*call, event.reply.result, event.reply.fenced, event.reply.answer, now);
+    next_step(*call, event.reply.result, event.reply.fenced, event.reply.answer, at);
 }
 
-void outbound_calls::on_peer_failed(const peer_failed& event, instant now)
+void outbound_calls::on_peer_failed(const peer_failed& event, moment at)
 {
+    const instant now = at.now;
     outbound_call* call = find_attempt(event.call, event.attempt);
     if (call == nullptr) {
         return;
@@ -294,11 +299,11 @@
     if (event.failure == peer_failure::never_processed) {
         call->allowance.give_back(call->lent, call->lent);
         close_attempt(*call);
-        next_step(*call, refused(outcome_reason::peer_unreachable), false, {}, now);
+        next_step(*call, refused(outcome_reason::peer_unreachable), false, {}, at);
         return;
     }
     close_attempt(*call);
-    next_step(*call, outcome::unknown(outcome_reason::connection_lost), false, {}, now);
+    next_step(*call, outcome::unknown(outcome_reason::connection_lost), false, {}, at);
 }
 
 bool outbound_calls::may_retry(const outbound_call& call, const outcome& result, instant now)
@@ -318,8 +323,9 @@
 }
 
 void outbound_calls::next_step(outbound_call& call, const outcome& result, bool fenced,
-                               const http_answer& answer, instant now)
+                               const http_answer& answer, moment at)
 {
+    const instant now = at.now;
     call.last_result = result;
     call.may_have_run = call.may_have_run || result.kind == outcome_kind::unknown;
     if (result.kind == outcome_kind::answered || !may_retry(call, result, now)) {
@@ -330,7 +336,7 @@
     assert(spent && "a retry is made only out of the allowance");
     (void)spent;
     ++call.context.attempt;
-    try_once(call, now);
+    try_once(call, at);
 }
 
 void outbound_calls::end(call_id id, const outcome& result, bool fenced, const http_answer& answer)
