Hand the records of a leaving owner to the next; summarize times

Cause: each planned leave and each evening out of buckets cost 'unknown' for keys of the last second, though the former owner was still there to tell. Change: ownership tells which buckets were lost; record_handover sends their records, once none is running, to the owner of the next epoch, whose history is complete from then on, also when the records come before the table. A stopping process waits for that within its drain limit.

--- a/bench/world/world.cpp
+++ b/bench/world/world.cpp
@@ -276,6 +276,12 @@
     });
 }
 
+void simulation::carry_out(site& s, const hand_over_records& a)
+{
+    const std::string to = a.instance.value();
+    deliver(s.options.name, to, [=] { handle(to, a.records); });
+}
+
 void simulation::carry_out(site& s, const dispatch_call& a)
 {
     const std::string name = s.options.name;
--- a/bench/world/world.h
+++ b/bench/world/world.h
@@ -165,6 +165,7 @@
     void carry_out(site& s, const dispatch_call& a);
     void carry_out(site& s, const cancel_dispatch& a);
     void carry_out(site& s, const reply_call& a);
+    void carry_out(site& s, const hand_over_records& a);
     void begin(site& s, const dispatch_call& a);
     void call_on(const std::string& name, inbound_id call);
     void finish(site& s, inbound_id call, int status);
--- a/include/fescuedyke/daemon/traffic_runtime.h
+++ b/include/fescuedyke/daemon/traffic_runtime.h
@@ -2,6 +2,7 @@
 #define FESCUEDYKE_DAEMON_TRAFFIC_RUNTIME_H
 
 #include "fescuedyke/control/messages.h"
+#include "fescuedyke/metrics/time_summary.h"
 #include "fescuedyke/node/node_core.h"
 #include "fescuedyke/transport/event_loop.h"
 #include "fescuedyke/transport/http_server.h"
@@ -58,11 +59,13 @@
     void carry_out(const dispatch_call& action);
     void carry_out(const cancel_dispatch& action);
     void carry_out(const reply_call& action);
+    void carry_out(const hand_over_records& action);
     void on_peer_request(peer_stream_id stream, const std::string& path, const std::string& body);
     void on_tick();
     void publish_record();
     void publish_account();
     void check_stopped();
+    void note_times(const node_event& event, instant now);
 
     node_settings settings_;
     event_loop& loop_;
@@ -78,6 +81,11 @@
     node_record record_;
     std::uint64_t account_sequence_ = 0;
     std::uint64_t events_handled_ = 0;
+    /// From a caller's request to its outcome, and from a call's dispatch to the target's answer.
+    time_summary call_times_;
+    time_summary target_times_;
+    std::map<exchange_id, instant> callers_since_;
+    std::map<inbound_id, instant> dispatched_since_;
     instant last_account_;
     bool target_was_ready_ = false;
     std::function<void()> on_stopped_;
--- a/include/fescuedyke/node/actions.h
+++ b/include/fescuedyke/node/actions.h
@@ -67,8 +67,15 @@
     call_reply reply;
 };
 
-using node_action =
-    std::variant<answer_caller, send_call, cancel_call, dispatch_call, cancel_dispatch, reply_call>;
+/// Hand a bucket's records to its next owner; nothing is done when that fails.
+struct hand_over_records {
+    instance_id instance;
+    endpoint address;
+    records_handed_over records;
+};
+
+using node_action = std::variant<answer_caller, send_call, cancel_call, dispatch_call,
+                                 cancel_dispatch, reply_call, hand_over_records>;
 
 /// Actions in the order decided.
 using node_actions = std::vector<node_action>;
--- a/include/fescuedyke/node/events.h
+++ b/include/fescuedyke/node/events.h
@@ -132,6 +132,8 @@
 struct records_handed_over {
     bucket_home home;
     bucket_index bucket;
+    /// Epoch of the grant whose history they complete.
+    std::uint64_t epoch = 0;
     std::map<std::string, run_record> records;
 };
 
--- a/include/fescuedyke/node/node_core.h
+++ b/include/fescuedyke/node/node_core.h
@@ -6,6 +6,7 @@
 #include "fescuedyke/node/inbound_calls.h"
 #include "fescuedyke/node/node_settings.h"
 #include "fescuedyke/node/outbound_calls.h"
+#include "fescuedyke/node/record_handover.h"
 
 /// \file
 /// All decisions of one node. It opens no socket, starts no thread and reads no clock.
@@ -27,6 +28,9 @@
     /// Returns whether no call is open on either side.
     bool idle() const;
 
+    /// Returns whether records wait for the next owners of their buckets.
+    bool hands_over() const { return handover_.pending(); }
+
     /// Returns whether the node has what it needs to serve.
     bool configured() const { return configured_; }
 
@@ -71,6 +75,8 @@
     flow_dependencies dependencies_;
     inbound_calls inbound_;
     outbound_calls outbound_;
+    record_handover handover_;
+    std::shared_ptr<const bucket_table> table_;
     config_version policies_version_;
     bool configured_ = false;
     instant last_sweep_;
--- a/include/fescuedyke/once/ownership.h
+++ b/include/fescuedyke/once/ownership.h
@@ -11,6 +11,7 @@
 #include <optional>
 #include <string>
 #include <utility>
+#include <vector>
 
 /// \file
 /// Which target owns which bucket of keys, and whether this instance may act as an owner now.
@@ -78,8 +79,19 @@
 
     incarnation self_incarnation() const { return self_incarnation_; }
 
-    /// The former owner's records of a bucket have all been taken over.
-    void on_history_taken_over(const bucket_home& home, bucket_index bucket);
+    /// The former owner's records of a bucket have all been taken over; they complete the history
+    /// of the grant with this epoch, whether its table has come or not.
+    void on_history_taken_over(const bucket_home& home, bucket_index bucket, std::uint64_t epoch);
+
+    /// A bucket that this instance held and gave up or lost.
+    struct lost_bucket {
+        bucket_home home;
+        bucket_index bucket;
+        bucket_hold hold;
+    };
+
+    /// Returns the buckets lost since this was last asked.
+    std::vector<lost_bucket> take_lost() { return std::exchange(lost_, {}); }
 
     /// Returns what is known of the bucket of \p key, or nothing when it may not be served now.
     std::optional<bucket_hold> may_serve(const service_name& service, const idempotency_key& key,
@@ -91,11 +103,16 @@
 private:
     using hold_key = std::pair<bucket_home, bucket_index>;
 
+    void lose(const hold_key& key, const bucket_hold& hold);
+
     instance_id self_;
     incarnation self_incarnation_;
     instant lease_until_;
     std::uint64_t table_version_ = 0;
     std::map<hold_key, bucket_hold> holds_;
+    /// Epochs whose history was taken over, by bucket.
+    std::map<hold_key, std::uint64_t> histories_;
+    std::vector<lost_bucket> lost_;
     bool released_ = false;
 };
 
--- a/lib/daemon/handover_codec.cpp
+++ b/lib/daemon/handover_codec.cpp
@@ -6,7 +6,7 @@
 
 template <class A> void fields(A& a, records_handed_over& x)
 {
-    a(x.home, x.bucket, x.records);
+    a(x.home, x.bucket, x.epoch, x.records);
 }
 
 std::string encode_handover(const records_handed_over& records)
--- a/lib/daemon/traffic_runtime.cpp
+++ b/lib/daemon/traffic_runtime.cpp
@@ -19,6 +19,15 @@
 constexpr millis account_period{1000};
 constexpr const char* call_path = "/call";
 
+nlohmann::json summary_json(const time_summary& summary)
+{
+    return {{"count", summary.count()},
+            {"mean_ms", summary.mean()},
+            {"p50_ms", summary.median()},
+            {"p99_ms", summary.percentile_99()},
+            {"max_ms", summary.greatest()}};
+}
+
 } // namespace
 
 traffic_runtime::traffic_runtime(const node_settings& settings, event_loop& loop, http_server& http,
@@ -55,7 +64,26 @@
 void traffic_runtime::handle(const node_event& event)
 {
     ++events_handled_;
-    carry_out(core_.handle(event, loop_.now()));
+    const moment at = loop_.now();
+    note_times(event, at.now);
+    carry_out(core_.handle(event, at));
+}
+
+void traffic_runtime::note_times(const node_event& event, instant now)
+{
+    if (const auto* request = std::get_if<caller_request>(&event)) {
+        callers_since_[request->exchange] = now;
+    }
+    if (const auto* answered = std::get_if<target_answered>(&event)) {
+        const auto found = dispatched_since_.find(answered->call);
+        if (found != dispatched_since_.end()) {
+            target_times_.add(now - found->second);
+            dispatched_since_.erase(found);
+        }
+    }
+    if (const auto* failed = std::get_if<target_failed>(&event)) {
+        dispatched_since_.erase(failed->call);
+    }
 }
 
 void traffic_runtime::on_announced(const target_announced& event, const endpoint& address)
@@ -125,7 +153,11 @@
 
 void traffic_runtime::check_stopped()
 {
-    if (!on_stopped_ || (!core_.idle() && loop_.now().now < stop_by_)) {
+    if (!on_stopped_) {
+        return;
+    }
+    const bool busy = !core_.idle() || core_.hands_over();
+    if (busy && loop_.now().now < stop_by_) {
         return;
     }
     if (!core_.idle()) {
@@ -146,6 +178,8 @@
 {
     nlohmann::json json = node_state_json(core_, loop_.now().now);
     json["events"] = events_handled_;
+    json["call_times"] = summary_json(call_times_);
+    json["target_times"] = summary_json(target_times_);
     json["peer_connections"] = peers_.connections();
     return json;
 }
@@ -182,6 +216,11 @@
 
 void traffic_runtime::carry_out(const answer_caller& action)
 {
+    const auto since = callers_since_.find(action.exchange);
+    if (since != callers_since_.end()) {
+        call_times_.add(loop_.now().now - since->second);
+        callers_since_.erase(since);
+    }
     http_.answer(action.exchange, to_http(action.result, action.answer));
 }
 
@@ -226,6 +265,7 @@
     request.extra_headers = {{call_header, action.token}};
     request.may_repeat = action.may_repeat;
     const inbound_id call = action.call;
+    dispatched_since_[call] = loop_.now().now;
     target_.send(call.value(), request, [this, call](target_result result) {
         if (auto* answer = std::get_if<http_answer>(&result)) {
             handle(target_answered{call, std::move(*answer)});
@@ -237,6 +277,7 @@
 
 void traffic_runtime::carry_out(const cancel_dispatch& action)
 {
+    dispatched_since_.erase(action.call);
     target_.cancel(action.call.value());
 }
 
@@ -248,4 +289,10 @@
     }
 }
 
+void traffic_runtime::carry_out(const hand_over_records& action)
+{
+    peers_.send(action.address, handover_path, {encode_handover(action.records), nullptr},
+                [](const peer_result&) {});
+}
+
 } // namespace fescuedyke
--- a/lib/node/inbound_calls.cpp
+++ b/lib/node/inbound_calls.cpp
@@ -402,7 +402,7 @@
     for (const auto& [key, record] : event.records) {
         registry_.take_over(key, record);
     }
-    owned_.on_history_taken_over(event.home, event.bucket);
+    owned_.on_history_taken_over(event.home, event.bucket, event.epoch);
 }
 
 void inbound_calls::warm_up(instant now)
--- a/lib/node/node_core.cpp
+++ b/lib/node/node_core.cpp
@@ -17,7 +17,9 @@
                settings.region_bytes_per_second * region_burst_seconds),
       chooser_(settings.place, settings.self, settings.routing, regions_),
       inbound_(settings_, owned_, accounts_, chooser_, dependencies_, pending_),
-      outbound_(settings_, chooser_, regions_, dependencies_, inbound_, accounts_, random, pending_)
+      outbound_(settings_, chooser_, regions_, dependencies_, inbound_, accounts_, random,
+                pending_),
+      handover_(settings_.registry)
 {
 }
 
@@ -167,6 +169,9 @@
 {
     outbound_.on_owners(event.table);
     owned_.on_table(*event.table, at.wall);
+    if (!table_ || event.table->version > table_->version) {
+        table_ = event.table;
+    }
 }
 
 void node_core::on(const lease_renewed& event, moment at)
@@ -186,6 +191,10 @@
     (void)event;
     outbound_.expire(at.now);
     inbound_.expire(at);
+    handover_.on_lost(owned_.take_lost(), at);
+    if (table_) {
+        handover_.advance(*table_, inbound_.registry(), chooser_, at, pending_);
+    }
     if (at.now - last_sweep_ >= sweep_period) {
         last_sweep_ = at.now;
         dependencies_.forget_old(at.now);
--- a/lib/once/once.cpp
+++ b/lib/once/once.cpp
@@ -63,8 +63,19 @@
             }
             const hold_key key{home, bucket_index(i)};
             const auto known = holds_.find(key);
-            const bool same = known != holds_.end() && known->second.epoch == grant.epoch;
-            holds[key] = same ? known->second : bucket_hold{grant.epoch, grant.epoch == 1, seen};
+            if (known != holds_.end() && known->second.epoch == grant.epoch) {
+                holds[key] = known->second;
+                continue;
+            }
+            const auto history = histories_.find(key);
+            const bool taken_over = history != histories_.end() && history->second == grant.epoch;
+            holds[key] = bucket_hold{grant.epoch, grant.epoch == 1 || taken_over, seen};
+        }
+    }
+    for (const auto& [key, hold] : holds_) {
+        const auto kept = holds.find(key);
+        if (kept == holds.end() || kept->second.epoch != hold.epoch) {
+            lose(key, hold);
         }
     }
     holds_ = std::move(holds);
@@ -81,9 +92,17 @@
 void ownership::release_all()
 {
     released_ = true;
+    for (const auto& [key, hold] : holds_) {
+        lose(key, hold);
+    }
     holds_.clear();
 }
 
+void ownership::lose(const hold_key& key, const bucket_hold& hold)
+{
+    lost_.push_back({key.first, key.second, hold});
+}
+
 void ownership::renew(incarnation next)
 {
     self_incarnation_ = next;
@@ -92,10 +111,12 @@
     holds_.clear();
 }
 
-void ownership::on_history_taken_over(const bucket_home& home, bucket_index bucket)
+void ownership::on_history_taken_over(const bucket_home& home, bucket_index bucket,
+                                      std::uint64_t epoch)
 {
+    histories_[{home, bucket}] = epoch;
     const auto found = holds_.find({home, bucket});
-    if (found != holds_.end()) {
+    if (found != holds_.end() && found->second.epoch == epoch) {
         found->second.history_complete = true;
     }
 }
--- a/unittests/node/whole_call_test.cpp
+++ b/unittests/node/whole_call_test.cpp
@@ -184,6 +184,43 @@
     EXPECT_EQ(sim.runs().size(), 1U);
 }
 
+TEST(whole_call, a_leaving_owner_hands_its_records_to_the_next)
+{
+    simulation sim(11);
+    build(sim);
+    const std::string key = make_uuid7(sim.wall(), sim.random());
+    const std::string old =
+        sim.owners().find(service_name("bookings"), *parse_idempotency_key(key))->owner.value();
+    const std::string next = old == "b1" ? "b2" : "b1";
+    seen first;
+    sim.send(deposit(old, key), first.take());
+    sim.run_for(millis(3));
+    sim.handle(old, target_draining{});
+    for (auto& [home, grants] : sim.owners().homes) {
+        for (bucket_grant& g : grants) {
+            if (g.owner.value() == old) {
+                g = {instance_id(next), incarnation(1), 2, 2, {}, {}};
+            }
+        }
+    }
+    sim.owners().version = 2;
+    const auto table = std::make_shared<bucket_table>(sim.owners());
+    sim.handle("b1", owners_in_force{table});
+    sim.handle("b2", owners_in_force{table});
+    seen during;
+    sim.send(deposit(next, key, 1), during.take());
+    sim.run_for(millis(300));
+    EXPECT_EQ(first.result.kind, outcome_kind::answered);
+    // While the key still runs at the old owner, the next one cannot know.
+    EXPECT_EQ(during.result.kind, outcome_kind::unknown);
+    seen after;
+    sim.send(deposit(next, key, 2), after.take());
+    sim.run_for(millis(100));
+    EXPECT_EQ(after.result.kind, outcome_kind::answered);
+    EXPECT_EQ(after.body, key);
+    EXPECT_EQ(sim.dispatched(), 2U);
+}
+
 TEST(whole_call, a_lost_idempotent_call_is_tried_elsewhere)
 {
     simulation sim(5);
--- a/unittests/once/run_registry_test.cpp
+++ b/unittests/once/run_registry_test.cpp
@@ -144,6 +144,20 @@
     EXPECT_TRUE(owned.may_serve(service_name("s"), key, instant(1))) << "an older table was taken";
 }
 
+TEST(ownership, a_history_taken_over_counts_for_its_own_grant_only)
+{
+    const idempotency_key key = key_at(begin_wall);
+    const service_name s("s");
+    for (const std::uint64_t epoch : {2U, 3U}) {
+        ownership owned(instance_id("a"), incarnation(1));
+        // The records may come before the table does.
+        owned.on_history_taken_over({s, region_name()}, key.bucket, 2);
+        owned.on_table(table_with(1, "a", epoch), begin_wall);
+        owned.on_lease(instant(1000), 1);
+        EXPECT_EQ(owned.may_serve(s, key, instant(1))->history_complete, epoch == 2);
+    }
+}
+
 TEST(ownership, what_was_given_up_comes_back_only_to_a_later_incarnation)
 {
     ownership owned(instance_id("a"), incarnation(1));
