--- a/lib/daemon/control_runtime.cpp
+++ b/lib/daemon/control_runtime.cpp
@@ -104,7 +104,7 @@
     server_ = std::make_unique<peer_server>(
         loop_,
         peer_server::handlers{[this](peer_stream_id stream, const std::string& path,
-                                     std::string body) { on_request(stream, path, body); },
+                                     const std::string& body) { on_request(stream, path, body); },
                               [](peer_stream_id) {},
                               [](std::uint64_t bytes) { return bytes <= most_control_bytes; }});
     return server_->listen(self.address);
--- a/lib/daemon/traffic_runtime.cpp
+++ b/lib/daemon/traffic_runtime.cpp
@@ -34,9 +34,8 @@
                                  random_source& random, traffic_listeners listeners)
     : settings_(settings), loop_(loop), http_(http), listeners_(std::move(listeners)),
       core_(settings, random), peers_(loop),
-      server_(loop, {[this](peer_stream_id stream, const std::string& path, std::string body) {
-                         on_peer_request(stream, path, body);
-                     },
+      server_(loop, {[this](peer_stream_id stream, const std::string& path,
+                            const std::string& body) { on_peer_request(stream, path, body); },
                      [this](peer_stream_id stream) {
                          handle(peer_cancelled{exchange_id(stream.value())});
                      },
--- /dev/null
+++ b/scripts/measure.py
@@ -0,0 +1,178 @@
+"""Measures real processes on loopback. Usage: measure.py BUILD latency|in-force|control [NODES...]"""
+
+import os
+import shutil
+import statistics
+import sys
+import time
+
+from mesh import MEMBERS, ROOT, Mesh, wait_for
+
+CLOCK_TICKS = os.sysconf("SC_CLK_TCK")
+
+
+def settings(name, owner, region, http):
+    members = "".join(
+        f"    - {{name: {n}, control: 127.0.0.1:{p + 2}, api: 127.0.0.1:{p}}}\n"
+        for n, p in MEMBERS.items()
+    )
+    return (
+        f"instance: {name}\nowner: {owner}\nregion: {region}\nzone: a\n"
+        f"listen:\n  http: 127.0.0.1:{http}\n  peer: 127.0.0.1:{http + 1}\n"
+        f"control:\n  members:\n{members}"
+        "operators:\n  - {name: platform, token: platform-demo-token, owners: ['*']}\n"
+    )
+
+
+def start_extra(mesh, count):
+    """Nodes beyond the example mesh, without targets of their own but announced as if."""
+    for i in range(count):
+        name = f"extra-{i}"
+        path = os.path.join(mesh.folder, name + ".yaml")
+        with open(path, "w") as file:
+            file.write(settings(name, "inkwell", ["cascadia-north", "puget"][i % 2], 20000 + 10 * i))
+        mesh.start(name, "fescuedyke", "--config", path)
+
+
+def announce(name, http, service):
+    """Announces a target that nobody calls, so that views and owner tables have their true size."""
+    import json
+    import urllib.request
+
+    body = {"service": service, "address": f"127.0.0.1:{http + 2}", "slots": 50, "lease_ms": 600000}
+    request = urllib.request.Request(
+        f"http://127.0.0.1:{http}/v1/target/announce", data=json.dumps(body).encode())
+    with urllib.request.urlopen(request) as answer:
+        answer.read()
+
+
+def cpu_seconds(mesh, name):
+    with open(f"/proc/{mesh.processes[name].pid}/stat") as file:
+        fields = file.read().rsplit(") ", 1)[1].split()
+    return (int(fields[11]) + int(fields[12])) / CLOCK_TICKS
+
+
+def resident_mib(mesh, name):
+    with open(f"/proc/{mesh.processes[name].pid}/statm") as file:
+        return int(file.read().split()[1]) * os.sysconf("SC_PAGE_SIZE") / (1 << 20)
+
+
+def latency(mesh):
+    """The same target directly and through two nodes, alternating, at a light steady load."""
+    mesh.start_all()
+    for _, done in mesh.apply_policies():
+        assert done.returncode == 0, done.stderr
+    wait_for("the mesh", mesh.ready)
+    for name in ["fees-1-target", "fees-2-target"]:
+        mesh.stop([name])
+    for name, base in [("fees-1", 7441), ("fees-2", 7451)]:
+        mesh.start_target(name, "fees", base, slots=50, service_time=1)
+    wait_for("the targets", mesh.ready)
+    ways = {
+        "direct": ["--node", "127.0.0.1:7443", "--path", "/fees/x"],
+        "own node": ["--node", "127.0.0.1:7441", "--path", "/call/fees/x"],
+        "another node": ["--node", "127.0.0.1:7401", "--path", "/call/fees/x"],
+    }
+    figures = {way: [] for way in ways}
+    for _ in range(5):
+        for way, arguments in ways.items():
+            result = mesh.load(*arguments, "--rate", 100, "--duration", 4000)
+            figures[way].append((result["p50_us"], result["p99_us"]))
+    for way, rounds in figures.items():
+        p50 = statistics.median(r[0] for r in rounds)
+        p99 = statistics.median(r[1] for r in rounds)
+        base = figures["direct"]
+        print(f"{way:13s} p50 {p50:6.0f} us, p99 {p99:6.0f} us, added "
+              f"{p50 - statistics.median(r[0] for r in base):5.0f} and "
+              f"{p99 - statistics.median(r[1] for r in base):5.0f} us; rounds {rounds}")
+
+
+def in_force(mesh, extra):
+    """Time from the durable answer to in force in every node, 100 changes."""
+    mesh.start_all()
+    start_extra(mesh, extra)
+    wait_for("the mesh", lambda: mesh.ctl_json("platform", "progress")["regions"]["puget"]["nodes"] >= extra // 2)
+    time.sleep(2)
+    import json
+    import urllib.request
+
+    leader = MEMBERS[mesh.leader()]
+    headers = {"Authorization": "Bearer platform-demo-token"}
+
+    def ask(path, body=None):
+        data = json.dumps(body).encode() if body else None
+        request = urllib.request.Request(f"http://127.0.0.1:{leader}{path}", data=data, headers=headers)
+        with urllib.request.urlopen(request) as answer:
+            return json.load(answer)
+
+    durable, spread = [], []
+    for i in range(100):
+        began = time.monotonic()
+        policy = f"policy: p\nowner: inkwell\norder: {i}\ngovern: {{class: low, idempotent: true}}\n"
+        result = ask("/v1/policies", {"change_id": f"m{i}", "based_on": i, "policy": policy})
+        answered = time.monotonic()
+        durable.append(answered - began)
+        while any(r["lowest"] < result["version"] for r in ask("/v1/progress")["regions"].values()):
+            time.sleep(0.005)
+        spread.append(time.monotonic() - answered)
+    for what, times in [("durable", durable), ("in force everywhere after that", spread)]:
+        times.sort()
+        print(f"{what}: p50 {1000 * times[50]:.0f} ms, p99 {1000 * times[98]:.0f} ms, "
+              f"greatest {1000 * times[-1]:.0f} ms ({9 + extra} nodes)")
+
+
+def control(mesh, counts):
+    """Cost of control per process with no calls, as the number of nodes grows."""
+    mesh.start_all()
+    have = 0
+    for count in counts:
+        extra = count - 9
+        for i in range(have, extra):
+            name = f"extra-{i}"
+            path = os.path.join(mesh.folder, name + ".yaml")
+            with open(path, "w") as file:
+                file.write(settings(name, "inkwell", ["cascadia-north", "puget"][i % 2], 20000 + 10 * i))
+            mesh.start(name, "fescuedyke", "--config", path)
+        wait_for("the new nodes", lambda: mesh.state(20000 + 10 * (extra - 1)) if extra > 0 else True)
+        for i in range(have, extra):
+            announce(f"extra-{i}", 20000 + 10 * i, f"service-{i % 15}")
+        have = max(have, extra)
+        wait_for("all nodes", lambda: sum(
+            r["nodes"] for r in mesh.ctl_json("platform", "progress")["regions"].values()) >= count, 60)
+        time.sleep(20)
+        leader = mesh.leader()
+        names = {"leader": leader, "follower": next(m for m in MEMBERS if m != leader), "node": "fees-1"}
+        ports = {"leader": MEMBERS[leader], "follower": MEMBERS[names["follower"]], "node": 7441}
+        before = {r: (cpu_seconds(mesh, n), mesh.state(ports[r])["subscription"]) for r, n in names.items()}
+        began = time.monotonic()
+        time.sleep(10)
+        elapsed = time.monotonic() - began
+        for role, name in names.items():
+            cpu = (cpu_seconds(mesh, name) - before[role][0]) / elapsed
+            now, then = mesh.state(ports[role])["subscription"], before[role][1]
+            sent = (now["poll_bytes_sent"] - then["poll_bytes_sent"]) / elapsed
+            received = (now["poll_bytes_received"] - then["poll_bytes_received"]) / elapsed
+            polls = (now["polls_sent"] - then["polls_sent"]) / elapsed
+            print(f"{count:4d} nodes {role:8s}: {100 * cpu:5.2f}% of a core, "
+                  f"{resident_mib(mesh, name):6.1f} MiB, polls {polls:.1f}/s, "
+                  f"{sent:.0f} B/s out, {received:.0f} B/s in")
+
+
+def main():
+    folder = os.path.join(ROOT, "demo-run")
+    shutil.rmtree(folder, ignore_errors=True)
+    mesh = Mesh(sys.argv[1], folder)
+    numbers = [int(a) for a in sys.argv[3:]]
+    try:
+        if sys.argv[2] == "latency":
+            latency(mesh)
+        elif sys.argv[2] == "in-force":
+            in_force(mesh, numbers[0] if numbers else 0)
+        else:
+            control(mesh, numbers or [9, 32, 128])
+    finally:
+        mesh.stop_all()
+
+
+if __name__ == "__main__":
+    main()
