--- /dev/null
+++ b/unittests/codec/codec_test.cpp
@@ -0,0 +1,129 @@
+#include "fescuedyke/codec/call_codec.h"
+#include "fescuedyke/control/control_state.h"
+#include "fescuedyke/control/messages.h"
+#include "fescuedyke/node/caller_headers.h"
+
+#include <gtest/gtest.h>
+#include <rapidcheck/gtest.h>
+
+#include <filesystem>
+#include <fstream>
+#include <sstream>
+
+namespace fescuedyke {
+namespace {
+
+call_context some_context()
+{
+    call_context c;
+    c.call = call_id(*rc::gen::arbitrary<std::uint64_t>());
+    c.service = service_name(*rc::gen::arbitrary<std::string>());
+    c.order = rank(static_cast<priority_class>(*rc::gen::inRange(0, 4)),
+                   static_cast<std::uint16_t>(*rc::gen::inRange(0, 65'536)));
+    c.depth = *rc::gen::inRange(0, max_depth);
+    c.time_left = millis(*rc::gen::inRange(0, 100'000));
+    c.key = *rc::gen::arbitrary<std::string>();
+    c.labels["a"] = *rc::gen::arbitrary<std::string>();
+    return c;
+}
+
+std::string whole_call(const call_context& context, const std::string& body)
+{
+    http_request request{"POST", "/x", {{"a", "b"}}, std::make_shared<const std::string>(body)};
+    return encode_call_head(context, request) + body;
+}
+
+RC_GTEST_PROP(call_codec, calls_come_back_whole, (const std::string& body))
+{
+    const call_context context = some_context();
+    const absl::StatusOr<decoded_call> call = decode_call(whole_call(context, body));
+    RC_ASSERT(call.ok());
+    RC_ASSERT(call->context.call == context.call);
+    RC_ASSERT(call->context.order == context.order);
+    RC_ASSERT(call->context.key == context.key);
+    RC_ASSERT(call->context.labels == context.labels);
+    RC_ASSERT(*call->request.body == body);
+}
+
+RC_GTEST_PROP(call_codec, a_call_that_was_cut_off_is_refused, (const std::string& body))
+{
+    const std::string bytes = whole_call(some_context(), body);
+    const auto kept = *rc::gen::inRange<std::size_t>(0, bytes.size());
+    RC_ASSERT(!decode_call(bytes.substr(0, kept)).ok());
+}
+
+/// Reads \p bytes with every decoder that a peer or a caller can reach.
+void decode_all(const std::string& bytes)
+{
+    (void)decode_call(bytes);
+    (void)decode_reply(bytes);
+    (void)decode_consensus(bytes);
+    (void)decode_poll(bytes);
+    (void)decode_poll_reply(bytes);
+    (void)decode_member_sync(bytes);
+    (void)decode_account_report(bytes);
+    (void)decode_command(bytes);
+    (void)control_state::decode_snapshot(bytes);
+    (void)read_caller_options({{labels_header, bytes}});
+    (void)read_caller_options({{timeout_header, bytes}, {attempt_header, bytes}});
+    (void)read_caller_options({{call_header, bytes}, {key_header, bytes}});
+}
+
+RC_GTEST_PROP(decoders, any_bytes_are_read_or_refused, (const std::string& bytes))
+{
+    decode_all(bytes);
+}
+
+RC_GTEST_PROP(decoders, changed_messages_are_read_or_refused, ())
+{
+    std::string bytes = whole_call(some_context(), "body");
+    const int changes = *rc::gen::inRange(1, 6);
+    for (int i = 0; i < changes; ++i) {
+        const auto at = *rc::gen::inRange<std::size_t>(0, bytes.size());
+        bytes[at] = static_cast<char>(*rc::gen::inRange(0, 256));
+    }
+    decode_all(bytes);
+}
+
+TEST(decoders, the_corpus_is_read_or_refused)
+{
+    std::size_t files = 0;
+    for (const auto& entry : std::filesystem::directory_iterator("bench/fuzz/corpus")) {
+        std::ifstream file(entry.path(), std::ios::binary);
+        std::stringstream content;
+        content << file.rdbuf();
+        decode_all(content.str());
+        ++files;
+    }
+    EXPECT_GT(files, 0U);
+}
+
+TEST(caller_headers, impossible_values_are_refused_by_name)
+{
+    const auto refused = [](const char* name, const std::string& value) {
+        const absl::Status status = read_caller_options({{name, value}}).status();
+        return !status.ok() && std::string(status.message()).find(name) == 0;
+    };
+    EXPECT_TRUE(refused(timeout_header, "0ms"));
+    EXPECT_TRUE(refused(timeout_header, "-5ms"));
+    EXPECT_TRUE(refused(timeout_header, "5"));
+    EXPECT_TRUE(refused(timeout_header, "99999999999999999999ms"));
+    EXPECT_TRUE(refused(attempt_header, "-1"));
+    EXPECT_TRUE(refused(attempt_header, "1.5"));
+    EXPECT_TRUE(refused(key_header, ""));
+    EXPECT_TRUE(refused(key_header, std::string(129, 'k')));
+    EXPECT_TRUE(refused(call_header, "xyz"));
+    EXPECT_TRUE(refused(labels_header, "=v"));
+    EXPECT_FALSE(read_caller_options({{key_header, "a"}, {key_header, "b"}}).ok());
+}
+
+TEST(caller_headers, what_is_meant_for_the_node_goes_no_further)
+{
+    const auto forwarded = forwarded_headers(
+        {{"fescue-call", "1"}, {"connection", "close"}, {"x-mine", "1"}, {"host", "h"}});
+    ASSERT_EQ(forwarded.size(), 1U);
+    EXPECT_EQ(forwarded[0].name, "x-mine");
+}
+
+} // namespace
+} // namespace fescuedyke
--- /dev/null
+++ b/unittests/membership/lease_table_test.cpp
@@ -0,0 +1,122 @@
+#include "fescuedyke/membership/lease_table.h"
+#include "fescuedyke/membership/view_builder.h"
+
+#include <gtest/gtest.h>
+#include <rapidcheck/gtest.h>
+
+namespace fescuedyke {
+namespace {
+
+constexpr instant start(10'000);
+
+node_record record(const std::string& name, std::uint64_t inc, std::uint64_t sequence,
+                   target_state state = target_state::ready)
+{
+    node_record r;
+    r.instance = instance_id(name);
+    r.node_incarnation = incarnation(inc);
+    r.sequence = sequence;
+    r.target = target_announcement{service_name("s"), {}, 4, state};
+    return r;
+}
+
+bool is_live(const lease_table& table, const std::string& name)
+{
+    const auto found = table.nodes().find(instance_id(name));
+    return found != table.nodes().end() && found->second.live;
+}
+
+TEST(lease_table, a_node_that_is_silent_is_gone)
+{
+    lease_table table({}, 1);
+    table.on_report(record("a", 1, 1), config_version(0), start);
+    table.expire(start + millis(1900));
+    EXPECT_TRUE(is_live(table, "a"));
+    table.expire(start + millis(2100));
+    EXPECT_FALSE(is_live(table, "a"));
+}
+
+TEST(lease_table, a_late_message_of_a_former_incarnation_changes_nothing)
+{
+    lease_table table({}, 1);
+    table.on_report(record("a", 2, 1), config_version(0), start);
+    table.on_report(record("a", 1, 9, target_state::draining), config_version(0), start);
+    EXPECT_EQ(table.nodes().at(instance_id("a")).record.node_incarnation, incarnation(2));
+    table.expire(start + millis(1000));
+    table.on_report(record("a", 1, 10), config_version(0), start + millis(1500));
+    table.expire(start + millis(2500));
+    EXPECT_FALSE(is_live(table, "a")) << "a former incarnation kept the present one alive";
+}
+
+TEST(lease_table, a_member_that_falls_silent_takes_its_word_with_it)
+{
+    lease_table one({}, 1);
+    lease_table two({}, 2);
+    one.on_report(record("a", 1, 1), config_version(0), start);
+    two.on_member_delta("m1", one.held_since(0, 0), start);
+    EXPECT_TRUE(is_live(two, "a"));
+    two.expire(start + millis(2900));
+    EXPECT_TRUE(is_live(two, "a"));
+    two.expire(start + millis(3100));
+    EXPECT_FALSE(is_live(two, "a"));
+}
+
+TEST(lease_table, draining_outlives_an_older_word_of_ready)
+{
+    lease_table one({}, 1);
+    lease_table two({}, 2);
+    one.on_report(record("a", 1, 1), config_version(0), start);
+    two.on_report(record("a", 1, 2, target_state::draining), config_version(0), start);
+    two.on_member_delta("m1", one.held_since(0, 0), start);
+    EXPECT_EQ(two.nodes().at(instance_id("a")).record.target->state, target_state::draining);
+}
+
+TEST(lease_table, the_latest_version_in_force_told_by_any_member_counts)
+{
+    lease_table one({}, 1);
+    lease_table two({}, 2);
+    one.on_report(record("a", 1, 1), config_version(4), start);
+    two.on_report(record("a", 1, 1), config_version(7), start);
+    one.on_member_delta("m2", two.held_since(0, 0), start);
+    EXPECT_EQ(one.nodes().at(instance_id("a")).in_force, config_version(7));
+}
+
+/// Deltas lead every reader to the same view as reading everything does.
+RC_GTEST_PROP(lease_table, deltas_add_up_to_the_whole, ())
+{
+    lease_table table({}, 1);
+    view_builder by_deltas;
+    instant now = start;
+    const int steps = *rc::gen::inRange(1, 60);
+    for (int i = 0; i < steps; ++i) {
+        now = now + millis(*rc::gen::inRange(0, 900));
+        const std::string name(1, static_cast<char>('a' + *rc::gen::inRange(0, 4)));
+        if (*rc::gen::inRange(0, 3) != 0) {
+            table.on_report(record(name, static_cast<std::uint64_t>(*rc::gen::inRange(1, 4)),
+                                   static_cast<std::uint64_t>(*rc::gen::inRange(1, 4))),
+                            config_version(0), now);
+        }
+        table.expire(now);
+        if (*rc::gen::inRange(0, 2) == 0) {
+            by_deltas.on_delta(
+                "m", table.view_since(by_deltas.known_epoch("m"), by_deltas.known_version("m")));
+        }
+    }
+    by_deltas.on_delta("m",
+                       table.view_since(by_deltas.known_epoch("m"), by_deltas.known_version("m")));
+    view_builder whole;
+    whole.on_delta("m", table.view_since(0, 0));
+    const target_view a = by_deltas.build();
+    const target_view b = whole.build();
+    RC_ASSERT(a.services.size() == b.services.size());
+    for (const auto& [service, targets] : b.services) {
+        RC_ASSERT(a.services.at(service).size() == targets.size());
+        for (std::size_t i = 0; i < targets.size(); ++i) {
+            RC_ASSERT(a.services.at(service)[i].instance == targets[i].instance);
+            RC_ASSERT(a.services.at(service)[i].node_incarnation == targets[i].node_incarnation);
+        }
+    }
+}
+
+} // namespace
+} // namespace fescuedyke
