Replay recorded traces; pass over targets that say they leave

Change: a refusal as draining or unreachable takes the target out of the choice for a second. A quiet node reports its account every 3 s in place of every second, the leader plans owners every 200 ms in place of every 20, and an account's history keeps only points that differ.

--- /dev/null
+++ b/bench/replay/replay.h
@@ -0,0 +1,27 @@
+#ifndef FESCUEDYKE_BENCH_REPLAY_H
+#define FESCUEDYKE_BENCH_REPLAY_H
+
+#include <absl/status/statusor.h>
+
+#include <string>
+#include <vector>
+
+/// \file
+/// Replays a recorded trace, a file of JSON lines, against node cores under virtual time and checks
+/// the outcomes stated in it. docs/design/traces.md describes the lines.
+
+namespace fescuedyke::replay {
+
+/// One stated outcome and whether it came true.
+struct finding {
+    std::string stated;
+    std::string seen;
+    bool holds = false;
+};
+
+/// Fails with kInvalidArgument, naming the line, when the trace is malformed.
+absl::StatusOr<std::vector<finding>> replay_trace(const std::string& text);
+
+} // namespace fescuedyke::replay
+
+#endif
--- a/include/fescuedyke/account/account.h
+++ b/include/fescuedyke/account/account.h
@@ -33,6 +33,11 @@
     service_name service;
     priority_class cls = priority_class::normal;
 
+    friend bool operator==(const account_key& a, const account_key& b)
+    {
+        return std::tie(a.side, a.owner, a.service, a.cls) ==
+               std::tie(b.side, b.owner, b.service, b.cls);
+    }
     friend bool operator<(const account_key& a, const account_key& b)
     {
         return std::tie(a.side, a.owner, a.service, a.cls) <
@@ -53,6 +58,12 @@
     bool is_conserved() const;
 
     account_row& operator+=(const account_row& other);
+
+    friend bool operator==(const account_row& a, const account_row& b)
+    {
+        return a.received == b.received && a.answered == b.answered && a.not_run == b.not_run &&
+               a.unknown == b.unknown && a.in_progress == b.in_progress;
+    }
 };
 
 /// One unrepeatable request whose outcome is not known.
@@ -71,10 +82,13 @@
     void on_unknown_key(const unknown_key& entry);
 
     const std::map<account_key, account_row>& rows() const { return rows_; }
+    /// Grows with every change.
+    std::uint64_t revision() const { return revision_; }
     /// The latest of the unrepeatable requests with unknown outcome; the oldest are dropped first.
     const std::deque<unknown_key>& unknown_keys() const { return unknown_keys_; }
 
 private:
+    std::uint64_t revision_ = 0;
     std::map<account_key, account_row> rows_;
     std::deque<unknown_key> unknown_keys_;
 };
--- a/include/fescuedyke/control/control_core.h
+++ b/include/fescuedyke/control/control_core.h
@@ -34,6 +34,8 @@
     std::size_t snapshot_every = 256;
     millis member_sync_period{250};
     millis account_flush_period{1000};
+    /// How often the leader looks for buckets that need another owner.
+    millis plan_period{200};
     /// Operators' changes that are neither committed nor lost by then are answered "unknown".
     millis change_timeout{5000};
 };
@@ -209,6 +211,7 @@
     bool stopping_ = false;
     instant last_sync_;
     instant last_flush_;
+    instant last_plan_;
     struct acknowledged {
         std::uint64_t epoch = 0;
         std::uint64_t version = 0;
--- a/include/fescuedyke/daemon/traffic_runtime.h
+++ b/include/fescuedyke/daemon/traffic_runtime.h
@@ -63,6 +63,7 @@
     void on_peer_request(peer_stream_id stream, const std::string& path, const std::string& body);
     void on_tick();
     void publish_record();
+    void publish_account_if_due(instant now);
     void publish_account();
     void check_stopped();
     void note_times(const node_event& event, instant now);
@@ -87,6 +88,8 @@
     std::map<exchange_id, instant> callers_since_;
     std::map<inbound_id, instant> dispatched_since_;
     instant last_account_;
+    std::uint64_t told_revision_ = 0;
+    instant told_account_;
     bool target_was_ready_ = false;
     std::function<void()> on_stopped_;
     instant stop_by_;
--- a/include/fescuedyke/routing/target_chooser.h
+++ b/include/fescuedyke/routing/target_chooser.h
@@ -70,6 +70,8 @@
     int ejections = 0;
     bool ejected = false;
     instant ejected_until;
+    /// The target said that it takes no work; it is not asked before this.
+    instant avoided_until;
     bool trial_in_flight = false;
 };
 
@@ -99,6 +101,9 @@
     void on_reply(const service_name& service, flow_id flow, const instance_id& instance,
                   const load_report& load, instant now);
 
+    /// The target's node said that its target leaves or is not there.
+    void on_absent(const service_name& service, const instance_id& instance, instant now);
+
     /// An attempt ended without a reply; \p failed tells whether that speaks against the target.
     void on_no_reply(const service_name& service, const instance_id& instance, bool failed,
                      instant now);
--- a/lib/account/account.cpp
+++ b/lib/account/account.cpp
@@ -51,6 +51,7 @@
 
 void account::on_received(const account_key& key)
 {
+    ++revision_;
     account_row& row = rows_[key];
     ++row.received;
     ++row.in_progress;
@@ -60,6 +61,7 @@
 {
     account_row& row = rows_[key];
     assert(row.in_progress > 0 && "a call must be received before it ends");
+    ++revision_;
     --row.in_progress;
     const auto reason = static_cast<std::size_t>(result.reason);
     switch (result.kind) {
--- a/lib/control/account_book.cpp
+++ b/lib/control/account_book.cpp
@@ -71,9 +71,10 @@
     if (!first && report.sequence <= entry.latest.sequence) {
         return;
     }
+    const bool changed = first || entry.latest.rows != report.rows;
     const bool step_over = entry.history.empty() ||
                            entry.latest.at - entry.history.back().first >= settings_.history_step;
-    if (!first && step_over) {
+    if (!first && changed && step_over) {
         entry.history.emplace_back(entry.latest.at, entry.latest.rows);
         if (entry.history.size() > settings_.most_history) {
             entry.history.pop_front();
--- a/lib/control/control_core.cpp
+++ b/lib/control/control_core.cpp
@@ -287,9 +287,10 @@
 
 void control_core::plan_owners(instant now)
 {
-    if (!grants_leases(now)) {
+    if (now - last_plan_ < settings_.plan_period || !grants_leases(now)) {
         return;
     }
+    last_plan_ = now;
     const std::optional<owner_change> change =
         planner_.plan(state_.owners(), leases_.live_nodes(), now);
     if (!change) {
--- a/lib/daemon/traffic_runtime.cpp
+++ b/lib/daemon/traffic_runtime.cpp
@@ -17,6 +17,9 @@
 
 constexpr millis tick_period{10};
 constexpr millis account_period{1000};
+
+/// A node with nothing new still reports this often, so that it does not show as a gap.
+constexpr millis quiet_account_period{3000};
 constexpr const char* call_path = "/call";
 
 nlohmann::json summary_json(const time_summary& summary)
@@ -103,7 +106,7 @@
     }
     if (at.now - last_account_ >= account_period) {
         last_account_ = at.now;
-        publish_account();
+        publish_account_if_due(at.now);
     }
     check_stopped();
 }
@@ -128,6 +131,16 @@
     listeners_.on_record(record_, target_was_ready_);
 }
 
+void traffic_runtime::publish_account_if_due(instant now)
+{
+    const bool changed = core_.accounts().revision() != told_revision_;
+    if (changed || now - told_account_ >= quiet_account_period) {
+        told_revision_ = core_.accounts().revision();
+        told_account_ = now;
+        publish_account();
+    }
+}
+
 void traffic_runtime::publish_account()
 {
     account_report report;
--- a/lib/node/outbound_calls.cpp
+++ b/lib/node/outbound_calls.cpp
@@ -280,6 +280,10 @@
     if (call->target.place.region != settings_.place.region) {
         regions_.spend(call->target.place.region, event.reply.answer.body_bytes(), now);
     }
+    const outcome_reason reason = event.reply.result.reason;
+    if (reason == outcome_reason::draining || reason == outcome_reason::target_unreachable) {
+        chooser_.on_absent(context.service, call->target.instance, now);
+    }
     call->allowance.give_back(event.reply.allowance_left, call->lent);
     close_attempt(*call);
     if (event.reply.result.kind == outcome_kind::answered) {
--- a/lib/routing/target_chooser.cpp
+++ b/lib/routing/target_chooser.cpp
@@ -23,6 +23,9 @@
 
 constexpr int most_ejection_doublings = 8;
 
+/// How long a target that takes no work is passed over, unless membership takes it out before.
+constexpr millis absent_time{1000};
+
 } // namespace
 
 target_chooser::target_chooser(locality self_place, instance_id self,
@@ -125,6 +128,9 @@
         }
         target_stats* stats = stats_of(request.service, target.instance);
         assert(stats != nullptr && "every target in view has stats");
+        if (now < stats->avoided_until) {
+            continue;
+        }
         result.push_back({&target, stats});
     }
     return result;
@@ -260,6 +266,14 @@
     recover(*stats);
 }
 
+void target_chooser::on_absent(const service_name& service, const instance_id& instance,
+                               instant now)
+{
+    if (target_stats* stats = stats_of(service, instance)) {
+        stats->avoided_until = now + absent_time;
+    }
+}
+
 void target_chooser::on_no_reply(const service_name& service, const instance_id& instance,
                                  bool failed, instant now)
 {
