--- a/bench/load/main.cpp
+++ b/bench/load/main.cpp
@@ -1,3 +1,4 @@
+#include "fescuedyke/command_line/parse.h"
 #include "fescuedyke/node/caller_headers.h"
 #include "fescuedyke/settings/process_settings.h"
 #include "fescuedyke/support/clock.h"
@@ -174,14 +175,8 @@
     add("body-bytes", options::value(&settings.body_bytes), "size of the body");
     add("outcomes", options::value(&settings.outcomes), "file of JSON lines, one a request");
     add("seed", options::value(&settings.seed), "seed of the keys");
-    options::variables_map given;
-    try {
-        options::store(options::parse_command_line(argc, argv, description), given);
-        options::notify(given);
-    }
-    catch (const options::error& error) {
-        std::cerr << error.what() << "\n";
-        return 2;
+    if (!fescuedyke::parse_command_line(argc, argv, description)) {
+        return fescuedyke::usage_exit_code;
     }
     for (const std::string& node : nodes) {
         const auto parsed = parse_endpoint(node);
--- a/bench/overload/main.cpp
+++ b/bench/overload/main.cpp
@@ -1,3 +1,4 @@
+#include "fescuedyke/command_line/parse.h"
 #include "world/world.h"
 
 #include <boost/program_options.hpp>
@@ -249,14 +250,8 @@
     add("demand", options::value(&demands)->multitoken(), "demand over capacity");
     add("client-retries", options::value(&retries), "tries again of each client, at once");
     add("seed", options::value(&seed), "seed");
-    options::variables_map given;
-    try {
-        options::store(options::parse_command_line(argc, argv, description), given);
-        options::notify(given);
-    }
-    catch (const options::error& error) {
-        std::cerr << error.what() << "\n";
-        return 2;
+    if (!fescuedyke::parse_command_line(argc, argv, description)) {
+        return fescuedyke::usage_exit_code;
     }
     std::printf("seed %llu, capacity %.0f roots/s\n", static_cast<unsigned long long>(seed),
                 capacity);
--- a/bench/standin/main.cpp
+++ b/bench/standin/main.cpp
@@ -1,3 +1,4 @@
+#include "fescuedyke/command_line/parse.h"
 #include "fescuedyke/node/caller_headers.h"
 #include "fescuedyke/settings/process_settings.h"
 #include "fescuedyke/support/clock.h"
@@ -260,14 +261,8 @@
     add("labels", options::value(&labels), "key=value,...");
     add("calls-on", options::value(&settings.calls_on)->multitoken(), "services called in turn");
     add("run-log", options::value(&settings.run_log), "file of JSON lines, one a run");
-    options::variables_map given;
-    try {
-        options::store(options::parse_command_line(argc, argv, description), given);
-        options::notify(given);
-    }
-    catch (const options::error& error) {
-        std::cerr << error.what() << "\n";
-        return 2;
+    if (!fescuedyke::parse_command_line(argc, argv, description)) {
+        return fescuedyke::usage_exit_code;
     }
     const auto listen = parse_endpoint(address);
     const auto node_address = parse_endpoint(node);
--- /dev/null
+++ b/lib/consensus/raft_members.cpp
@@ -0,0 +1,144 @@
+#include "fescuedyke/consensus/raft_core.h"
+
+#include <algorithm>
+#include <cassert>
+#include <utility>
+
+namespace fescuedyke {
+
+namespace {
+
+constexpr millis join_period{500};
+
+/// Lag, in entries, up to which a learner counts as caught up.
+constexpr std::uint64_t learner_lag = 4;
+
+} // namespace
+
+std::size_t raft_core::voters() const
+{
+    const member_list& members = log_.members();
+    return static_cast<std::size_t>(std::count_if(members.begin(), members.end(),
+                                                  [](const member_entry& m) { return m.voter; }));
+}
+
+const member_entry* raft_core::find_member(const member_id& id) const
+{
+    const member_list& members = log_.members();
+    const auto found = std::find_if(members.begin(), members.end(),
+                                    [&](const member_entry& m) { return m.id == id; });
+    return found == members.end() ? nullptr : &*found;
+}
+
+const member_entry* raft_core::find_named(const std::string& name) const
+{
+    const member_list& members = log_.members();
+    const auto found = std::find_if(members.begin(), members.end(),
+                                    [&](const member_entry& m) { return m.id.name == name; });
+    return found == members.end() ? nullptr : &*found;
+}
+
+bool raft_core::is_voter() const
+{
+    if (log_.empty()) {
+        const member_entry* own = find_named(self_.name);
+        return own != nullptr && own->voter;
+    }
+    const member_entry* own = find_member(self_);
+    return own != nullptr && own->voter;
+}
+
+bool raft_core::is_member() const
+{
+    return !log_.empty() && find_member(self_) != nullptr;
+}
+
+void raft_core::ask_to_join(instant now)
+{
+    if (now - last_join_ < join_period) {
+        return;
+    }
+    last_join_ = now;
+    for (const member_entry& m : log_.members()) {
+        if (m.id.name != self_.name) {
+            send(m.id, join_request{self_entry_.address, self_entry_.api_address});
+        }
+    }
+}
+
+void raft_core::on(const member_id& from, const join_request& m, instant now)
+{
+    if (find_member(from) == nullptr) {
+        joiners_[from] = {m, now};
+    }
+}
+
+absl::Status raft_core::propose_members(member_list next, instant now)
+{
+    if (role_ != raft_role::leader) {
+        return absl::UnavailableError("this member does not lead");
+    }
+    // A leader first commits an entry of its own term, then changes one member at a time.
+    if (log_.members_index() > commit_ || log_.term_at(commit_) != hard_.term) {
+        return absl::FailedPreconditionError("members: another change is under way");
+    }
+    log_entry entry;
+    entry.kind = entry_kind::members;
+    entry.members = std::move(next);
+    append_own(std::move(entry));
+    for (const member_entry& m : log_.members()) {
+        progress& p = progress_[m.id];
+        if (p.next < log_index(1)) {
+            p.next = log_index(log_.last_index().value() + 1);
+            p.last_heard = now;
+        }
+    }
+    broadcast(now);
+    return absl::OkStatus();
+}
+
+void raft_core::tend_members(instant now)
+{
+    if (log_.members_index() > commit_ || log_.term_at(commit_) != hard_.term) {
+        return;
+    }
+    member_list next = log_.members();
+    for (member_entry& m : next) {
+        const progress& p = progress_[m.id];
+        const bool caught_up =
+            p.match.value() + learner_lag >= log_.last_index().value() && p.match >= log_index(1);
+        if (!m.voter && caught_up && now - p.last_heard < settings_.election_timeout) {
+            m.voter = true;
+            joiners_.erase(m.id);
+            (void)propose_members(next, now);
+            return;
+        }
+    }
+    for (const auto& [id, j] : joiners_) {
+        const bool asks_still = now - j.heard < settings_.replace_after;
+        if (asks_still && find_member(id) == nullptr && replace_returned(next, id, j, now)) {
+            return;
+        }
+    }
+}
+
+bool raft_core::replace_returned(member_list next, const member_id& id, const joiner& j,
+                                 instant now)
+{
+    // An instance enters by itself only in the place of its own former identity.
+    const auto old = std::find_if(next.begin(), next.end(),
+                                  [&](const member_entry& m) { return m.id.name == id.name; });
+    if (old == next.end() || now - progress_[old->id].last_heard < settings_.replace_after) {
+        return false;
+    }
+    // The old identity loses its vote first; the new one enters as a learner.
+    if (old->voter && voters() > 1) {
+        old->voter = false;
+    }
+    else {
+        *old = {id, j.request.address, j.request.api_address, false};
+    }
+    return propose_members(std::move(next), now).ok();
+}
+
+} // namespace fescuedyke
--- /dev/null
+++ b/lib/consensus/raft_replication.cpp
@@ -0,0 +1,330 @@
+#include "fescuedyke/consensus/raft_core.h"
+
+#include <algorithm>
+#include <cassert>
+#include <utility>
+
+namespace fescuedyke {
+
+namespace {
+
+constexpr std::size_t most_rounds = 64;
+
+} // namespace
+
+void raft_core::append_own(log_entry entry)
+{
+    entry.index = log_index(log_.last_index().value() + 1);
+    entry.term = hard_.term;
+    log_.append(entry);
+    output_.append.push_back(std::move(entry));
+}
+
+void raft_core::broadcast(instant now)
+{
+    last_broadcast_ = now;
+    ++round_;
+    rounds_[round_] = now;
+    while (rounds_.size() > most_rounds) {
+        rounds_.erase(rounds_.begin());
+    }
+    const member_list members = log_.members();
+    for (const member_entry& m : members) {
+        if (m.id != self_) {
+            send_append(m, now);
+        }
+    }
+}
+
+void raft_core::send_append(const member_entry& to, instant now)
+{
+    progress& p = progress_[to.id];
+    if (p.next < log_index(1)) {
+        p.next = log_index(log_.last_index().value() + 1);
+    }
+    const log_index previous(p.next.value() - 1);
+    const std::optional<log_term> previous_term = log_.term_at(previous);
+    if (!previous_term) {
+        send_snapshot(to, p, now);
+        return;
+    }
+    append_request request;
+    request.term = hard_.term;
+    request.previous_index = previous;
+    request.previous_term = *previous_term;
+    request.commit = commit_;
+    request.follower_disk = to.id.disk;
+    request.round = round_;
+    request.confirmed = leads_for_certain(now);
+    request.entries = log_.slice(p.next, settings_.max_entries_per_append);
+    p.last_sent = now;
+    send(to.id, std::move(request));
+}
+
+void raft_core::send_snapshot(const member_entry& to, progress& p, instant now)
+{
+    const snapshot& base = log_.base();
+    snapshot_chunk chunk;
+    chunk.term = hard_.term;
+    chunk.index = base.index;
+    chunk.index_term = base.term;
+    chunk.members = base.members;
+    chunk.total = base.data.size();
+    chunk.offset = std::min<std::uint64_t>(p.snapshot_offset, chunk.total);
+    chunk.data = base.data.substr(chunk.offset, settings_.snapshot_chunk_bytes);
+    chunk.follower_disk = to.id.disk;
+    p.last_sent = now;
+    send(to.id, std::move(chunk));
+}
+
+bool raft_core::accepts_leader(const member_id& from, log_term term, std::uint64_t disk,
+                               instant now)
+{
+    if (disk != self_.disk || term < hard_.term) {
+        return false;
+    }
+    if (term > hard_.term || role_ != raft_role::follower) {
+        become_follower(term, now);
+    }
+    leader_ = from;
+    heard_leader_ = true;
+    last_leader_contact_ = now;
+    reset_election_timer(now);
+    return true;
+}
+
+void raft_core::on(const member_id& from, const append_request& m, instant now)
+{
+    if (!accepts_leader(from, m.term, m.follower_disk, now)) {
+        if (m.follower_disk == self_.disk) {
+            send(from, append_reply{hard_.term, false, log_.last_index(), m.round});
+        }
+        return;
+    }
+    if (m.confirmed) {
+        confirmed_at_ = now;
+    }
+    const bool below_base = m.previous_index < log_.base().index;
+    const std::optional<log_term> held = log_.term_at(m.previous_index);
+    if (!below_base && (!held || *held != m.previous_term)) {
+        const std::uint64_t last = log_.last_index().value();
+        const std::uint64_t before = m.previous_index.value() - 1;
+        const log_index hint(std::max(log_.base().index.value(), std::min(last, before)));
+        send(from, append_reply{hard_.term, false, hint, m.round});
+        return;
+    }
+    append_new(m);
+    const std::uint64_t matched = m.previous_index.value() + m.entries.size();
+    const log_index reached(std::max(matched, log_.base().index.value()));
+    if (const log_index known = std::min(m.commit, reached); known > commit_) {
+        commit_ = known;
+    }
+    send(from, append_reply{hard_.term, true, reached, m.round});
+}
+
+void raft_core::append_new(const append_request& m)
+{
+    for (const log_entry& entry : m.entries) {
+        if (entry.index <= log_.base().index) {
+            continue;
+        }
+        const std::optional<log_term> held = log_.term_at(entry.index);
+        if (held && *held == entry.term) {
+            continue;
+        }
+        if (held) {
+            assert(entry.index > commit_ && "committed entries are never replaced");
+            log_.truncate_from(entry.index);
+            persisted_ = std::min(persisted_, log_.last_index());
+            const bool earlier = output_.truncate_from && *output_.truncate_from < entry.index;
+            output_.truncate_from = earlier ? output_.truncate_from : entry.index;
+            auto& pending = output_.append;
+            pending.erase(
+                std::remove_if(pending.begin(), pending.end(),
+                               [&](const log_entry& e) { return e.index >= entry.index; }),
+                pending.end());
+        }
+        log_.append(entry);
+        output_.append.push_back(entry);
+    }
+}
+
+void raft_core::on(const member_id& from, const append_reply& m, instant now)
+{
+    if (m.term > hard_.term) {
+        become_follower(m.term, now);
+        return;
+    }
+    const auto found = progress_.find(from);
+    if (role_ != raft_role::leader || m.term < hard_.term || found == progress_.end()) {
+        return;
+    }
+    progress& p = found->second;
+    p.last_heard = now;
+    if (const auto round = rounds_.find(m.round); round != rounds_.end()) {
+        p.confirmed_round = std::max(p.confirmed_round, round->second);
+    }
+    if (!m.success) {
+        p.next = log_index(std::min(p.next.value() - 1, m.index.value()) + 1);
+        if (p.next.value() <= p.match.value()) {
+            p.next = log_index(p.match.value() + 1);
+        }
+        return;
+    }
+    p.snapshot_offset = 0;
+    if (m.index > p.match) {
+        p.match = m.index;
+    }
+    p.next = log_index(std::max(p.next.value(), p.match.value() + 1));
+    advance_commit(now);
+    const member_entry* member = find_member(from);
+    if (member != nullptr && p.next <= log_.last_index() && p.match >= log_.base().index) {
+        send_append(*member, now);
+    }
+}
+
+void raft_core::advance_commit(instant now)
+{
+    std::vector<std::uint64_t> matches;
+    for (const member_entry& m : log_.members()) {
+        if (!m.voter) {
+            continue;
+        }
+        const log_index match = m.id == self_ ? persisted_ : progress_[m.id].match;
+        matches.push_back(match.value());
+    }
+    if (matches.empty()) {
+        return;
+    }
+    std::sort(matches.begin(), matches.end(), std::greater<>());
+    const log_index agreed(matches[std::min(quorum(), matches.size()) - 1]);
+    // Only entries of the present term are committed by counting (Raft, section 5.4.2).
+    if (agreed <= commit_ || log_.term_at(agreed) != hard_.term) {
+        return;
+    }
+    commit_ = agreed;
+    if (find_member(self_) == nullptr && log_.members_index() <= commit_) {
+        become_follower(hard_.term, now);
+        return;
+    }
+    broadcast(now);
+}
+
+void raft_core::note_quorum(instant now)
+{
+    std::vector<instant> rounds;
+    for (const member_entry& m : log_.members()) {
+        if (m.voter) {
+            rounds.push_back(m.id == self_ ? now : progress_[m.id].confirmed_round);
+        }
+    }
+    std::sort(rounds.begin(), rounds.end(), std::greater<>());
+    if (rounds.size() >= quorum() && rounds[quorum() - 1] > confirmed_at_) {
+        confirmed_at_ = rounds[quorum() - 1];
+    }
+}
+
+bool raft_core::leads_for_certain(instant now) const
+{
+    return role_ == raft_role::leader && now - confirmed_at_ < settings_.election_timeout;
+}
+
+void raft_core::on(const member_id& from, const snapshot_chunk& m, instant now)
+{
+    if (!accepts_leader(from, m.term, m.follower_disk, now)) {
+        return;
+    }
+    if (m.index <= commit_) {
+        send(from, append_reply{hard_.term, true, commit_, 0});
+        return;
+    }
+    if (m.index != incoming_index_ || m.offset == 0) {
+        incoming_index_ = m.index;
+        incoming_snapshot_.clear();
+    }
+    if (m.offset == incoming_snapshot_.size()) {
+        incoming_snapshot_ += m.data;
+    }
+    if (incoming_snapshot_.size() < m.total) {
+        send(from, snapshot_reply{hard_.term, m.index, incoming_snapshot_.size()});
+        return;
+    }
+    const snapshot received{m.index, m.index_term, m.members,
+                            std::exchange(incoming_snapshot_, {})};
+    const std::optional<log_term> held = log_.term_at(m.index);
+    if (!held || *held != m.index_term) {
+        log_ = replicated_log(received, {}, {});
+    }
+    else {
+        log_.compact(received);
+    }
+    commit_ = m.index;
+    delivered_ = m.index;
+    persisted_ = log_.last_index();
+    output_.append = log_.slice(log_.first_index(), log_.last_index().value());
+    output_.truncate_from.reset();
+    output_.committed.clear();
+    output_.install = received;
+    output_.hard = hard_;
+    send(from, append_reply{hard_.term, true, m.index, 0});
+}
+
+void raft_core::on(const member_id& from, const snapshot_reply& m, instant now)
+{
+    if (m.term > hard_.term) {
+        become_follower(m.term, now);
+        return;
+    }
+    const auto found = progress_.find(from);
+    const member_entry* member = find_member(from);
+    if (role_ != raft_role::leader || found == progress_.end() || member == nullptr) {
+        return;
+    }
+    found->second.last_heard = now;
+    found->second.snapshot_offset = m.index == log_.base().index ? m.received : 0;
+    send_snapshot(*member, found->second, now);
+}
+
+absl::StatusOr<log_index> raft_core::propose(std::string command, instant now)
+{
+    if (role_ != raft_role::leader) {
+        return absl::UnavailableError("this member does not lead");
+    }
+    log_entry entry;
+    entry.kind = entry_kind::command;
+    entry.data = std::move(command);
+    append_own(std::move(entry));
+    broadcast(now);
+    return log_.last_index();
+}
+
+void raft_core::on_persisted()
+{
+    persisted_ = log_.last_index();
+}
+
+void raft_core::deliver_committed()
+{
+    // What is handed out must be on this member's own disk as well.
+    const log_index ready = std::min(commit_, persisted_);
+    while (delivered_ < ready) {
+        delivered_ = log_index(delivered_.value() + 1);
+        output_.committed.push_back(log_.at(delivered_));
+    }
+}
+
+snapshot raft_core::make_snapshot(log_index index, std::string data) const
+{
+    const std::optional<log_term> term = log_.term_at(index);
+    assert(term && index <= commit_ && "a snapshot is made of committed entries");
+    return {index, *term, log_.members_at(index), std::move(data)};
+}
+
+void raft_core::on_snapshot_persisted(const snapshot& s)
+{
+    if (s.index > log_.base().index) {
+        log_.compact(s);
+    }
+}
+
+} // namespace fescuedyke
--- a/tools/fescuedyke/main.cpp
+++ b/tools/fescuedyke/main.cpp
@@ -1,3 +1,4 @@
+#include "fescuedyke/command_line/parse.h"
 #include "fescuedyke/daemon/daemon.h"
 #include "fescuedyke/logging/json_log.h"
 #include "fescuedyke/settings/process_settings.h"
@@ -15,7 +16,6 @@
 namespace options = boost::program_options;
 
 constexpr int exit_failed = 1;
-constexpr int exit_usage = 2;
 
 int run(const options::variables_map& given)
 {
@@ -23,7 +23,7 @@
     const absl::StatusOr<fescuedyke::process_settings> settings = fescuedyke::load_settings(path);
     if (!settings.ok()) {
         std::cerr << path << ":\n" << settings.status().message() << "\n";
-        return exit_usage;
+        return fescuedyke::usage_exit_code;
     }
     if (given.count("check") != 0) {
         std::cout << path << ": ok\n";
@@ -54,22 +54,18 @@
     add("config,c", options::value<std::string>(), "settings file (YAML)");
     add("check", "only check the settings and print every fault with its line");
     add("seed", options::value<std::uint64_t>(), "seed of the random numbers");
-    options::variables_map given;
-    try {
-        options::store(options::parse_command_line(argc, argv, description), given);
-        options::notify(given);
-    }
-    catch (const options::error& error) {
-        std::cerr << error.what() << "\n";
-        return exit_usage;
+    const auto parsed = fescuedyke::parse_command_line(argc, argv, description);
+    if (!parsed) {
+        return fescuedyke::usage_exit_code;
     }
+    const options::variables_map& given = *parsed;
     if (given.count("help") != 0) {
         std::cout << description;
         return 0;
     }
     if (given.count("config") == 0) {
         std::cerr << "config: is missing\n" << description;
-        return exit_usage;
+        return fescuedyke::usage_exit_code;
     }
     return run(given);
 }
