--- a/scripts/measure.py
+++ b/scripts/measure.py
@@ -1,7 +1,8 @@
-"""Measures real processes on loopback. Usage: measure.py BUILD latency|in-force|control [NODES...]"""
+"""Measures real processes on loopback. Usage: measure.py BUILD latency|in-force|in-force-frozen|control [NODES...]"""
 
 import os
 import shutil
+import signal
 import statistics
 import sys
 import time
@@ -87,7 +88,7 @@
               f"{p99 - statistics.median(r[1] for r in base):5.0f} us; rounds {rounds}")
 
 
-def in_force(mesh, extra):
+def in_force(mesh, extra, frozen=False):
     """Time from the durable answer to in force in every node, 100 changes."""
     mesh.start_all()
     start_extra(mesh, extra)
@@ -97,6 +98,10 @@
     import urllib.request
 
     leader = MEMBERS[mesh.leader()]
+    silent = next(m for m in MEMBERS if m != mesh.leader())
+    if frozen:
+        # Its connections stay open and nothing comes from it any more.
+        mesh.processes[silent].send_signal(signal.SIGSTOP)
     headers = {"Authorization": "Bearer platform-demo-token"}
 
     def ask(path, body=None):
@@ -115,6 +120,8 @@
         while any(r["lowest"] < result["version"] for r in ask("/v1/progress")["regions"].values()):
             time.sleep(0.005)
         spread.append(time.monotonic() - answered)
+    if frozen:
+        mesh.processes[silent].send_signal(signal.SIGCONT)
     for what, times in [("durable", durable), ("in force everywhere after that", spread)]:
         times.sort()
         print(f"{what}: p50 {1000 * times[50]:.0f} ms, p99 {1000 * times[98]:.0f} ms, "
@@ -168,6 +175,8 @@
             latency(mesh)
         elif sys.argv[2] == "in-force":
             in_force(mesh, numbers[0] if numbers else 0)
+        elif sys.argv[2] == "in-force-frozen":
+            in_force(mesh, numbers[0] if numbers else 0, frozen=True)
         else:
             control(mesh, numbers or [9, 32, 128])
     finally:
--- a/scripts/mesh.py
+++ b/scripts/mesh.py
@@ -76,6 +76,11 @@
             self.start_node(name)
         for name in NODES:
             self.start_with_target(name)
+        time.sleep(1)
+        # A port that another process holds must not pass for a running mesh.
+        ended = [n for n, process in self.processes.items() if process.poll() is not None]
+        if ended:
+            raise RuntimeError(f"ended at the start: {ended}; see their logs in {self.folder}")
         wait_for("a leader", lambda: self.ctl("platform", "progress").returncode == 0)
 
     def apply_policies(self):
