--- a/bench/fuzz/main.cpp
+++ b/bench/fuzz/main.cpp
@@ -14,6 +14,8 @@
 /// A libFuzzer target over every decoder that a peer, a caller or an operator can reach. The first
 /// byte chooses the decoder. Build with clang and -DFESCUEDYKE_FUZZ=ON.
 
+// The name is libFuzzer's.
+// NOLINTNEXTLINE(readability-identifier-naming)
 extern "C" int LLVMFuzzerTestOneInput(const std::uint8_t* data, std::size_t size)
 {
     using namespace fescuedyke;
--- a/bench/replay/replay.cpp
+++ b/bench/replay/replay.cpp
@@ -73,8 +73,8 @@
             return;
         }
         open();
-        const json event = line;
-        sim_->at(millis(line.at("at_ms").get<std::int64_t>()), [this, event] { act(event); });
+        sim_->at(millis(line.at("at_ms").get<std::int64_t>()),
+                 [this, event = json(line)] { act(event); });
     }
 
     void add_site(const json& s)
--- a/lib/daemon/daemon.cpp
+++ b/lib/daemon/daemon.cpp
@@ -19,7 +19,6 @@
 using json = nlohmann::json;
 
 constexpr int ok_status = 200;
-constexpr int accepted_status = 202;
 constexpr int bad_request_status = 400;
 constexpr int unauthorized_status = 401;
 constexpr int forbidden_status = 403;
