Refuse consensus messages whose entries do not follow one another

Cause: reading the log again: it asserts that entries come in order, which a malformed message of a peer could break and so stop a member. Change: the decoder refuses such a message.

--- a/include/fescuedyke/codec/call_codec.h
+++ b/include/fescuedyke/codec/call_codec.h
@@ -32,6 +32,7 @@
 absl::StatusOr<call_reply> decode_reply(const std::string& bytes);
 
 std::string encode_consensus(const consensus_message& message);
+/// Fails with kInvalidArgument when malformed, also when entries do not follow one another.
 absl::StatusOr<consensus_message> decode_consensus(const std::string& bytes);
 
 } // namespace fescuedyke
--- a/lib/codec/call_codec.cpp
+++ b/lib/codec/call_codec.cpp
@@ -64,6 +64,18 @@
     return head;
 }
 
+/// The log takes entries only one after the other; a peer must not be able to break that.
+bool follow_in_order(const append_request& append)
+{
+    std::uint64_t expected = append.previous_index.value();
+    for (const log_entry& entry : append.entries) {
+        if (entry.index.value() != ++expected) {
+            return false;
+        }
+    }
+    return true;
+}
+
 } // namespace
 
 std::string encode_call_head(const call_context& context, const http_request& request)
@@ -124,7 +136,16 @@
 
 absl::StatusOr<consensus_message> decode_consensus(const std::string& bytes)
 {
-    return decode<consensus_message>(bytes, "consensus message");
+    absl::StatusOr<consensus_message> message =
+        decode<consensus_message>(bytes, "consensus message");
+    if (!message.ok()) {
+        return message;
+    }
+    const auto* append = std::get_if<append_request>(&message->body);
+    if (append != nullptr && !follow_in_order(*append)) {
+        return absl::InvalidArgumentError("consensus message: entries are out of order");
+    }
+    return message;
 }
 
 } // namespace fescuedyke
