Show the policies in force in the state dump

Cause: the dump told the version of the configuration but not the policies. Change: name and version of each policy in force.

--- a/include/fescuedyke/subscription/config_subscriber.h
+++ b/include/fescuedyke/subscription/config_subscriber.h
@@ -76,6 +76,8 @@
 
     config_version version() const { return version_; }
     const bucket_table& owners() const { return owners_; }
+    /// The policies as they are in force, removed ones included, by policy_key().
+    const std::map<std::string, policy_record>& records() const { return records_; }
     const std::string& leader() const { return leader_; }
     const std::map<std::string, member_standing>& members() const { return members_; }
     /// The members asked at present, nearest last.
--- a/lib/daemon/state_json.cpp
+++ b/lib/daemon/state_json.cpp
@@ -121,6 +121,11 @@
     state["fresh"] = subscriber.is_fresh(now);
     state["leader"] = subscriber.leader();
     state["asks"] = subscriber.chosen(now);
+    for (const auto& [key, record] : subscriber.records()) {
+        if (!record.removed) {
+            state["policies"][key] = record.version;
+        }
+    }
     for (const auto& [name, m] : subscriber.members()) {
         state["members"][name] = {
             {"address", m.address.host + ":" + std::to_string(m.address.port)},
