--- a/bench/load/main.cpp
+++ b/bench/load/main.cpp
@@ -204,7 +204,6 @@
         }
         settings.nodes.push_back(*parsed);
     }
-    curl_global_init(CURL_GLOBAL_DEFAULT);
     std::cout << load(settings).run().dump() << "\n";
     return 0;
 }
--- a/bench/standin/main.cpp
+++ b/bench/standin/main.cpp
@@ -43,11 +43,9 @@
 public:
     explicit standin(const standin_settings& settings)
         : settings_(settings), loop_(clock_), client_(loop_),
-          http_({settings.address, 2, (64U << 20U) + (64U << 10U)},
-                {[this](exchange_id e, http_request r) {
-                     loop_.post([this, e, r = std::move(r)] { on_request(e, r); });
-                 },
-                 [this](exchange_id e) { loop_.post([this, e] { on_gone(e); }); }}),
+          http_(loop_, {},
+                {[this](exchange_id e, const http_request& r) { on_request(e, r); },
+                 [this](exchange_id e) { on_gone(e); }}),
           log_(settings.run_log, std::ios::app), started_(clock_.read())
     {
     }
@@ -59,7 +57,7 @@
         sigaddset(&signals, SIGTERM);
         sigaddset(&signals, SIGINT);
         pthread_sigmask(SIG_BLOCK, &signals, nullptr);
-        if (const absl::Status started = http_.start(); !started.ok()) {
+        if (const absl::Status started = http_.listen(settings_.address); !started.ok()) {
             std::cerr << started.message() << "\n";
             return 1;
         }
@@ -69,7 +67,7 @@
         sigwait(&signals, &signal);
         loop_.post([this] { leave(); });
         thread.join();
-        http_.stop();
+        http_.stop_listening();
         return 0;
     }
 
@@ -276,6 +274,5 @@
     settings.labels = *parsed;
     settings.service_time = millis(service_time);
     settings.cold_start = millis(cold_start);
-    curl_global_init(CURL_GLOBAL_DEFAULT);
     return standin(settings).run();
 }
--- a/include/fescuedyke/call/message.h
+++ b/include/fescuedyke/call/message.h
@@ -10,7 +10,7 @@
 
 namespace fescuedyke {
 
-/// One header field; names are compared in lower case.
+/// One header field; names keep their spelling and are compared without regard to case.
 struct header {
     std::string name;
     std::string value;
@@ -39,9 +39,12 @@
     std::size_t body_bytes() const { return body ? body->size() : 0; }
 };
 
-/// Returns the value of the first header called \p name (in lower case), or nullptr.
+/// Returns the value of the first header called \p name, or nullptr.
 const std::string* find_header(const std::vector<header>& headers, const std::string& name);
 
+/// Whether a header concerns one connection only and is never passed on.
+bool is_connection_header(const std::string& name);
+
 } // namespace fescuedyke
 
 #endif
--- a/include/fescuedyke/routing/target_view.h
+++ b/include/fescuedyke/routing/target_view.h
@@ -26,6 +26,9 @@
     friend bool operator!=(const endpoint& a, const endpoint& b) { return !(a == b); }
 };
 
+/// Returns `IP:port`.
+std::string to_string(const endpoint& address);
+
 /// Region and availability zone of a process.
 struct locality {
     region_name region;
--- a/include/fescuedyke/settings/process_settings.h
+++ b/include/fescuedyke/settings/process_settings.h
@@ -40,7 +40,6 @@
     endpoint http;
     /// Where other nodes reach it.
     endpoint peer;
-    int http_threads = 2;
     std::vector<member_address> members;
     /// Whether this process is one of the members.
     bool is_member = false;
@@ -64,9 +63,6 @@
 /// Reads `IP:port`. Fails with kInvalidArgument on anything else.
 absl::StatusOr<endpoint> parse_endpoint(const std::string& text);
 
-/// Returns `IP:port`.
-std::string to_string(const endpoint& address);
-
 } // namespace fescuedyke
 
 #endif
--- a/include/fescuedyke/transport/event_loop.h
+++ b/include/fescuedyke/transport/event_loop.h
@@ -12,6 +12,7 @@
 #include <map>
 #include <memory>
 #include <mutex>
+#include <thread>
 #include <vector>
 
 /// \file
@@ -37,7 +38,7 @@
     /// Runs until stop() is called.
     void run();
 
-    /// May be called from any thread.
+    /// May be called from any thread. The loop is woken only when another thread posts.
     void post(task work);
     void stop();
 
@@ -53,10 +54,14 @@
 
     moment now() const { return time_.read(); }
 
+    /// Whether the caller is in the thread that runs the loop.
+    bool in_loop() const { return runner_.load() == std::this_thread::get_id(); }
+
 private:
     void run_posted();
     void run_timers();
-    int wait_time() const;
+    bool has_posted();
+    int wait_time();
 
     const clock& time_;
     int epoll_fd_;
@@ -64,6 +69,8 @@
     std::atomic<bool> stopped_{false};
     std::mutex mutex_;
     std::vector<task> posted_;
+    /// The thread in run().
+    std::atomic<std::thread::id> runner_{};
     std::map<int, std::shared_ptr<socket_handler>> sockets_;
     std::map<std::pair<instant, std::uint64_t>, task> timers_;
     std::map<std::uint64_t, instant> timer_times_;
--- a/include/fescuedyke/transport/h2_connection.h
+++ b/include/fescuedyke/transport/h2_connection.h
@@ -1,9 +1,9 @@
 #ifndef FESCUEDYKE_TRANSPORT_H2_CONNECTION_H
 #define FESCUEDYKE_TRANSPORT_H2_CONNECTION_H
 
-#include "fescuedyke/routing/target_view.h"
 #include "fescuedyke/transport/event_loop.h"
 #include "fescuedyke/transport/frame.h"
+#include "fescuedyke/transport/socket.h"
 
 #include <nghttp2/nghttp2.h>
 
@@ -118,12 +118,6 @@
     std::shared_ptr<bool> alive_;
 };
 
-/// Opens a non-blocking listening socket. Fails with kUnavailable when the address is taken.
-absl::Status listen_on(const endpoint& address, int& fd);
-
-/// Starts to connect a non-blocking socket. Returns a negative number on failure.
-int start_connect(const endpoint& address);
-
 } // namespace fescuedyke
 
 #endif
--- /dev/null
+++ b/include/fescuedyke/transport/http_codec.h
@@ -0,0 +1,103 @@
+#ifndef FESCUEDYKE_TRANSPORT_HTTP_CODEC_H
+#define FESCUEDYKE_TRANSPORT_HTTP_CODEC_H
+
+#include "fescuedyke/call/message.h"
+#include "fescuedyke/support/time.h"
+
+#include <cstdint>
+#include <memory>
+#include <string>
+#include <vector>
+
+/// \file
+/// HTTP/1.1 messages as bytes, by Boost.Beast. Names of headers keep their spelling, repeated
+/// headers and the whole path and query stay as they are.
+
+namespace fescuedyke {
+
+/// What a client may send, and how long it may take.
+struct http_limits {
+    std::size_t head_bytes = 64U << 10U;
+    std::uint64_t body_bytes = 64ULL << 20U;
+    /// From the first byte of a request to the end of its head.
+    millis head_time{10'000};
+    /// Between requests on one connection.
+    millis idle_time{60'000};
+};
+
+enum class read_progress : std::uint8_t { more, complete, failed };
+
+/// Reads one request after the other out of a growing buffer.
+class request_reader {
+public:
+    explicit request_reader(const http_limits& limits);
+    ~request_reader();
+    request_reader(const request_reader&) = delete;
+    request_reader& operator=(const request_reader&) = delete;
+
+    /// Takes what belongs to the present request from the front of \p buffer.
+    read_progress read(std::string& buffer);
+
+    /// Whether the head of the present request has not come in whole.
+    bool in_head() const;
+    /// Whether the client waits for leave to send the body; true once for each request.
+    bool take_expectation();
+    /// Hands over the complete request; the next read() begins another.
+    http_request take();
+    /// Whether the connection may serve another request after the one handed over last.
+    bool keep_alive() const { return keep_alive_; }
+    /// After a failure, the status that tells the client of it.
+    int error_status() const { return error_status_; }
+
+private:
+    struct impl;
+    void begin();
+
+    const http_limits& limits_;
+    std::unique_ptr<impl> impl_;
+    bool keep_alive_ = true;
+    bool expectation_seen_ = false;
+    int error_status_ = 0;
+};
+
+/// Reads the responses on one connection to a server.
+class answer_reader {
+public:
+    answer_reader();
+    ~answer_reader();
+    answer_reader(const answer_reader&) = delete;
+    answer_reader& operator=(const answer_reader&) = delete;
+
+    /// Begins to read the response to a request with \p method.
+    void begin(const std::string& method);
+    /// Takes what belongs to the present response; interim responses are passed over.
+    read_progress read(std::string& buffer);
+    /// The server ended the connection in order. Returns whether this completes the response.
+    bool finish();
+    bool head_seen() const;
+    http_answer take();
+    bool keep_alive() const { return keep_alive_; }
+    /// How long the server keeps an idle connection, by its Keep-Alive header; 0 if it tells none.
+    millis idle_time() const { return idle_time_; }
+
+private:
+    struct impl;
+
+    std::unique_ptr<impl> impl_;
+    bool head_request_ = false;
+    bool keep_alive_ = true;
+    millis idle_time_;
+};
+
+/// Returns the head of a request with \p extra headers.
+std::string request_head(const http_request& request, const std::vector<header>& extra);
+
+/// Returns the head of a response.
+std::string answer_head(const http_answer& answer, bool close);
+
+/// Leave to send the body of a request.
+std::string continue_head();
+
+} // namespace fescuedyke
+
+#endif
--- a/include/fescuedyke/transport/http_server.h
+++ b/include/fescuedyke/transport/http_server.h
@@ -2,28 +2,24 @@
 #define FESCUEDYKE_TRANSPORT_HTTP_SERVER_H
 
 #include "fescuedyke/call/message.h"
-#include "fescuedyke/routing/target_view.h"
 #include "fescuedyke/support/ids.h"
+#include "fescuedyke/transport/event_loop.h"
+#include "fescuedyke/transport/http_codec.h"
+#include "fescuedyke/transport/socket.h"
 
 #include <absl/status/status.h>
 
 #include <functional>
+#include <map>
 #include <memory>
 
 /// \file
-/// HTTP/1.1 towards callers, targets and operators, by Pistache.
+/// HTTP/1.1 towards callers, targets and operators.
 
 namespace fescuedyke {
 
-struct http_server_settings {
-    endpoint address;
-    int threads = 2;
-    /// Largest request, head and body together, in bytes.
-    std::size_t max_request_bytes = (64U << 20U) + (64U << 10U);
-};
-
-/// Serves on threads of its own. The handlers are called on those threads; answers may be given
-/// from any thread.
+/// Serves on an event loop. Requests that follow on a connection before the first is answered are
+/// taken as well; their answers go out in the order of the requests.
 class http_server {
 public:
     struct handlers {
@@ -33,22 +29,49 @@
         std::function<void(exchange_id)> on_gone;
     };
 
-    http_server(const http_server_settings& settings, handlers h);
+    /// Exchanges of several servers on one loop are told apart by their \p first number.
+    http_server(event_loop& loop, const http_limits& limits, handlers h, std::uint64_t first = 1);
     ~http_server();
     http_server(const http_server&) = delete;
     http_server& operator=(const http_server&) = delete;
 
-    /// Fails with kUnavailable when the address is taken.
-    absl::Status start();
+    /// Fails with kUnavailable when the address is taken. Called before the loop runs or in it.
+    absl::Status listen(const endpoint& address);
 
-    /// Answers an exchange once; one that is gone is passed over.
+    /// Answers an exchange once; one that is gone is passed over. May be called from any thread.
     void answer(exchange_id exchange, const http_answer& answer);
 
-    void stop();
+    /// In force for what is read from now on.
+    void set_limits(const http_limits& limits) { limits_ = limits; }
+
+    /// Every answer from now on asks the caller to close its connection.
+    void wind_down() { winding_down_ = true; }
+    /// Closes connections on which no request is open.
+    void close_idle();
+    /// Takes no more connections.
+    void stop_listening();
+
+    std::size_t open_exchanges() const { return by_exchange_.size(); }
+    std::size_t connections() const { return connections_.size(); }
 
 private:
-    class impl;
-    std::unique_ptr<impl> impl_;
+    class connection;
+
+    void accept_ready();
+    void drop(std::uint64_t connection);
+    void sweep();
+
+    event_loop& loop_;
+    http_limits limits_;
+    handlers handlers_;
+    int fd_ = -1;
+    bool winding_down_ = false;
+    bool sweeping_ = false;
+    std::uint64_t next_exchange_;
+    std::uint64_t next_connection_ = 1;
+    std::map<std::uint64_t, std::shared_ptr<connection>> connections_;
+    std::map<exchange_id, std::uint64_t> by_exchange_;
+    std::shared_ptr<bool> alive_;
 };
 
 } // namespace fescuedyke
--- a/include/fescuedyke/transport/target_client.h
+++ b/include/fescuedyke/transport/target_client.h
@@ -1,23 +1,20 @@
 #ifndef FESCUEDYKE_TRANSPORT_TARGET_CLIENT_H
 #define FESCUEDYKE_TRANSPORT_TARGET_CLIENT_H
 
-#include "fescuedyke/call/message.h"
+#include "fescuedyke/node/actions.h"
 #include "fescuedyke/node/events.h"
-#include "fescuedyke/routing/target_view.h"
 #include "fescuedyke/transport/event_loop.h"
 
-#include <curl/curl.h>
-
-#include <cstdint>
 #include <functional>
 #include <map>
 #include <memory>
+#include <optional>
 #include <string>
 #include <variant>
 #include <vector>
 
 /// \file
-/// Requests to the target beside a node, by libcurl over kept-alive connections.
+/// Requests to the target beside a node, over kept connections.
 
 namespace fescuedyke {
 
@@ -30,8 +27,11 @@
     shared_request request;
     /// Headers that the node adds.
     std::vector<header> extra_headers;
-    /// Whether a kept connection may be used, on which libcurl may send the request again.
+    /// Whether the request may be sent again when a kept connection dies under it.
     bool may_repeat = false;
+    /// A header that the answer must bring back as it was sent; what does not is no answer to this
+    /// request.
+    std::optional<header> echoed{};
 };
 
 class target_client {
@@ -43,30 +43,30 @@
     target_client(const target_client&) = delete;
     target_client& operator=(const target_client&) = delete;
 
-    /// Sends a request named \p id; \p done is called once unless the request is cancelled before.
+    /// Sends a request named \p id; \p done is called once, later, unless the request is cancelled
+    /// before.
     void send(std::uint64_t id, const target_request& request, callback done);
 
     /// Closes the request's connection, by which the target learns of the cancellation.
     void cancel(std::uint64_t id);
 
-private:
-    struct transfer;
+    /// Closes the connections that wait for requests.
+    void close_idle();
 
-    static int on_socket(CURL* easy, curl_socket_t fd, int what, void* self, void* socket);
-    static int on_timer(CURLM* multi, long timeout_ms, void* self);
-    static std::size_t on_header(char* data, std::size_t size, std::size_t count, void* self);
-    static std::size_t on_body(char* data, std::size_t size, std::size_t count, void* self);
+    std::uint64_t connections_made() const { return connections_made_; }
+
+private:
+    class connection;
 
-    void act(curl_socket_t fd, int events);
-    void collect();
-    CURL* take_handle();
+    std::shared_ptr<connection> take_idle(const target_request& request);
+    void start(std::uint64_t id, const target_request& request, callback done, bool fresh_only);
+    void on_idle(const std::shared_ptr<connection>& c);
+    void on_closed(const std::shared_ptr<connection>& c);
 
     event_loop& loop_;
-    CURLM* multi_;
-    std::vector<CURL*> idle_;
-    std::map<std::uint64_t, std::unique_ptr<transfer>> transfers_;
-    timer_id timer_;
-    bool timer_set_ = false;
+    std::uint64_t connections_made_ = 0;
+    std::vector<std::shared_ptr<connection>> idle_;
+    std::map<std::uint64_t, std::shared_ptr<connection>> busy_;
 };
 
 } // namespace fescuedyke
--- a/lib/call/call.cpp
+++ b/lib/call/call.cpp
@@ -1,10 +1,19 @@
 #include "fescuedyke/call/context.h"
 #include "fescuedyke/support/hash.h"
 
+#include <absl/strings/match.h>
+
+#include <algorithm>
+#include <array>
+
 namespace fescuedyke {
 
 namespace {
 
+constexpr std::array<const char*, 8> connection_headers = {
+    "connection",          "keep-alive", "proxy-connection",  "proxy-authenticate",
+    "proxy-authorization", "te",         "transfer-encoding", "upgrade"};
+
 constexpr std::uint64_t lot_seed = 0x6c6f74;
 
 struct reason_facts {
@@ -61,10 +70,16 @@
     return static_cast<std::uint16_t>(stable_hash(root.value(), lot_seed));
 }
 
+bool is_connection_header(const std::string& name)
+{
+    return std::any_of(connection_headers.begin(), connection_headers.end(),
+                       [&](const char* h) { return absl::EqualsIgnoreCase(name, h); });
+}
+
 const std::string* find_header(const std::vector<header>& headers, const std::string& name)
 {
     for (const header& h : headers) {
-        if (h.name == name) {
+        if (absl::EqualsIgnoreCase(h.name, name)) {
             return &h.value;
         }
     }
--- a/lib/daemon/daemon.cpp
+++ b/lib/daemon/daemon.cpp
@@ -44,14 +44,6 @@
     return node;
 }
 
-http_server_settings http_settings_of(const process_settings& settings)
-{
-    http_server_settings http;
-    http.address = settings.http;
-    http.threads = settings.http_threads;
-    return http;
-}
-
 sigset_t stop_signals()
 {
     sigset_t signals;
@@ -78,13 +70,11 @@
 daemon_process::daemon_process(const process_settings& settings, std::uint64_t seed)
     : settings_(settings), traffic_random_(seed), control_random_(seed + 1), traffic_loop_(clock_),
       control_loop_(clock_),
-      http_(http_settings_of(settings),
+      http_(traffic_loop_, {},
             {[this](exchange_id exchange, http_request request) {
                  on_http(exchange, std::move(request));
              },
-             [this](exchange_id exchange) {
-                 traffic_loop_.post([this, exchange] { traffic_->handle(caller_gone{exchange}); });
-             }})
+             [this](exchange_id exchange) { traffic_->handle(caller_gone{exchange}); }})
 {
     // Starts of one instance are ordered by the time of its start.
     const auto start = static_cast<std::uint64_t>(clock_.read().wall.since_origin());
@@ -117,7 +107,7 @@
     if (absl::Status started = traffic_->start(); !started.ok()) {
         return started;
     }
-    if (absl::Status started = http_.start(); !started.ok()) {
+    if (absl::Status started = http_.listen(settings_.http); !started.ok()) {
         return started;
     }
     std::thread traffic([this] { traffic_loop_.run(); });
@@ -143,7 +133,7 @@
                     control_loop_.stop();
                     traffic_loop_.post([this] {
                         traffic_->shut_down();
-                        http_.stop();
+                        http_.stop_listening();
                         traffic_loop_.after(last_answers, [this] { traffic_loop_.stop(); });
                     });
                 });
@@ -161,9 +151,11 @@
 {
     if (absl::StatusOr<call_target> call = parse_call_path(request.path); call.ok()) {
         request.path = call->path;
-        caller_request event{exchange, call->service,
-                             std::make_shared<http_request>(std::move(request))};
-        traffic_loop_.post([this, event = std::move(event)] { traffic_->handle(event); });
+        caller_request event;
+        event.exchange = exchange;
+        event.service = call->service;
+        event.request = std::make_shared<http_request>(std::move(request));
+        traffic_->handle(event);
         return;
     }
     const http_target target = split_target(request.path);
@@ -195,10 +187,8 @@
         answer_error(exchange, bad_request_status, "address: is not on this instance");
         return;
     }
-    traffic_loop_.post([this, exchange, a = *a] {
-        traffic_->on_announced(a.event, a.address);
-        http_.answer(exchange, json_answer(ok_status, {{"instance", settings_.instance.value()}}));
-    });
+    traffic_->on_announced(a->event, a->address);
+    http_.answer(exchange, json_answer(ok_status, {{"instance", settings_.instance.value()}}));
 }
 
 void daemon_process::serve_drain(exchange_id exchange, const http_request& request,
@@ -206,10 +196,8 @@
 {
     (void)request;
     (void)query;
-    traffic_loop_.post([this, exchange] {
-        traffic_->handle(target_draining{});
-        http_.answer(exchange, json_answer(ok_status, {{"draining", true}}));
-    });
+    traffic_->handle(target_draining{});
+    http_.answer(exchange, json_answer(ok_status, {{"draining", true}}));
 }
 
 void daemon_process::serve_state(exchange_id exchange, const http_request& request,
@@ -221,14 +209,11 @@
         answer_error(exchange, forbidden_status, "state: belongs to another owner");
         return;
     }
-    traffic_loop_.post([this, exchange] {
-        const json node = traffic_->state();
-        control_loop_.post([this, exchange, node] {
-            json state = control_->state();
-            state["node"] = node;
-            state["settings"] = settings_json(settings_);
-            http_.answer(exchange, json_answer(ok_status, state));
-        });
+    control_loop_.post([this, exchange, node = traffic_->state()] {
+        json state = control_->state();
+        state["node"] = node;
+        state["settings"] = settings_json(settings_);
+        http_.answer(exchange, json_answer(ok_status, state));
     });
 }
 
--- a/lib/node/caller_headers.cpp
+++ b/lib/node/caller_headers.cpp
@@ -2,6 +2,8 @@
 
 #include "fescuedyke/policy/policy.h"
 
+#include <absl/strings/match.h>
+
 #include <algorithm>
 #include <array>
 #include <charconv>
@@ -15,9 +17,8 @@
 constexpr int most_client_attempts = 1'000'000;
 constexpr std::int64_t longest_timeout_ms = 10 * 60 * 1000;
 
-constexpr std::array<const char*, 9> connection_headers = {
-    "connection",       "keep-alive", "content-length", "transfer-encoding", "te", "upgrade",
-    "proxy-connection", "host",       "expect"};
+/// Set anew on the way to the target.
+constexpr std::array<const char*, 3> hop_headers = {"content-length", "host", "expect"};
 
 absl::Status faulty(const char* name, const std::string& what)
 {
@@ -95,15 +96,17 @@
 
 const header_reader* find_reader(const std::string& name)
 {
-    const auto* found = std::find_if(readers.begin(), readers.end(),
-                                     [&](const header_reader& r) { return name == r.name; });
+    const auto* found = std::find_if(readers.begin(), readers.end(), [&](const header_reader& r) {
+        return absl::EqualsIgnoreCase(name, r.name);
+    });
     return found == readers.end() ? nullptr : found;
 }
 
-bool is_connection_header(const std::string& name)
+bool is_hop_header(const std::string& name)
 {
-    return std::any_of(connection_headers.begin(), connection_headers.end(),
-                       [&](const char* h) { return name == h; });
+    return is_connection_header(name) ||
+           std::any_of(hop_headers.begin(), hop_headers.end(),
+                       [&](const char* h) { return absl::EqualsIgnoreCase(name, h); });
 }
 
 } // namespace
@@ -117,7 +120,7 @@
         if (reader == nullptr) {
             continue;
         }
-        if (!seen.insert(h.name).second) {
+        if (!seen.insert(reader->name).second) {
             return faulty(reader->name, "is given twice");
         }
         if (absl::Status read = reader->read(h.value, options); !read.ok()) {
@@ -131,7 +134,7 @@
 {
     std::vector<header> result;
     for (const header& h : headers) {
-        if (!is_connection_header(h.name) && h.name.rfind("fescue-", 0) != 0) {
+        if (!is_hop_header(h.name) && !absl::StartsWithIgnoreCase(h.name, "fescue-")) {
             result.push_back(h);
         }
     }
--- a/lib/settings/process_settings.cpp
+++ b/lib/settings/process_settings.cpp
@@ -92,7 +92,6 @@
     settings.subset = static_cast<std::size_t>(limits.integer("subset", 8, 1, 1000));
     settings.drain_limit =
         limits.duration("drain", settings.drain_limit, millis(0), millis(10 * 60 * 1000));
-    settings.http_threads = static_cast<int>(limits.integer("http_threads", 2, 1, 64));
     limits.reject_unknown_keys();
 }
 
@@ -125,11 +124,6 @@
     return endpoint{host, number};
 }
 
-std::string to_string(const endpoint& address)
-{
-    return address.host + ":" + std::to_string(address.port);
-}
-
 absl::StatusOr<process_settings> parse_settings(const std::string& yaml)
 {
     absl::StatusOr<YAML::Node> root = load_yaml_mapping(yaml);
--- a/lib/transport/event_loop.cpp
+++ b/lib/transport/event_loop.cpp
@@ -41,6 +41,9 @@
         const std::lock_guard<std::mutex> lock(mutex_);
         posted_.push_back(std::move(work));
     }
+    if (in_loop()) {
+        return;
+    }
     const std::uint64_t one = 1;
     const ssize_t written = ::write(wake_fd_, &one, sizeof one);
     (void)written;
@@ -118,8 +121,17 @@
     }
 }
 
-int event_loop::wait_time() const
+bool event_loop::has_posted()
 {
+    const std::lock_guard<std::mutex> lock(mutex_);
+    return !posted_.empty();
+}
+
+int event_loop::wait_time()
+{
+    if (has_posted()) {
+        return 0;
+    }
     if (timers_.empty()) {
         return longest_wait_ms;
     }
@@ -130,6 +142,7 @@
 void event_loop::run()
 {
     std::array<epoll_event, most_events> events{};
+    runner_ = std::this_thread::get_id();
     while (!stopped_) {
         const int ready = ::epoll_wait(epoll_fd_, events.data(), most_events, wait_time());
         for (int i = 0; i < ready; ++i) {
--- a/lib/transport/h2_connection.cpp
+++ b/lib/transport/h2_connection.cpp
@@ -1,13 +1,10 @@
 #include "fescuedyke/transport/h2_connection.h"
 
 #include <algorithm>
-#include <arpa/inet.h>
 #include <array>
 #include <cassert>
 #include <cerrno>
 #include <cstring>
-#include <netinet/in.h>
-#include <netinet/tcp.h>
 #include <sys/epoll.h>
 #include <sys/socket.h>
 #include <unistd.h>
@@ -27,7 +24,7 @@
 constexpr std::size_t write_bytes = 256U << 10U;
 
 /// Unacknowledged data closes a connection after this, so that a silent cut is noticed.
-constexpr unsigned user_timeout_ms = 5000;
+constexpr millis peer_unanswered{3000};
 
 nghttp2_nv make_nv(const char* name, const std::string& value)
 {
@@ -39,21 +36,6 @@
     return nv;
 }
 
-bool make_address(const endpoint& address, sockaddr_in& out)
-{
-    out = {};
-    out.sin_family = AF_INET;
-    out.sin_port = htons(address.port);
-    return ::inet_pton(AF_INET, address.host.c_str(), &out.sin_addr) == 1;
-}
-
-void set_options(int fd)
-{
-    const int on = 1;
-    ::setsockopt(fd, IPPROTO_TCP, TCP_NODELAY, &on, sizeof on);
-    ::setsockopt(fd, IPPROTO_TCP, TCP_USER_TIMEOUT, &user_timeout_ms, sizeof user_timeout_ms);
-}
-
 h2_connection* self_of(void* self)
 {
     return static_cast<h2_connection*>(self);
@@ -61,47 +43,10 @@
 
 } // namespace
 
-absl::Status listen_on(const endpoint& address, int& fd)
-{
-    sockaddr_in a{};
-    if (!make_address(address, a)) {
-        return absl::InvalidArgumentError("listen: '" + address.host + "' is not an IP number");
-    }
-    fd = ::socket(AF_INET, SOCK_STREAM | SOCK_NONBLOCK | SOCK_CLOEXEC, 0);
-    const int on = 1;
-    ::setsockopt(fd, SOL_SOCKET, SO_REUSEADDR, &on, sizeof on);
-    const bool bound = ::bind(fd, reinterpret_cast<sockaddr*>(&a), sizeof a) == 0;
-    if (!bound || ::listen(fd, SOMAXCONN) != 0) {
-        ::close(fd);
-        fd = -1;
-        return absl::UnavailableError("listen: " + address.host + ":" +
-                                      std::to_string(address.port) + ": " + std::strerror(errno));
-    }
-    return absl::OkStatus();
-}
-
-int start_connect(const endpoint& address)
-{
-    sockaddr_in a{};
-    if (!make_address(address, a)) {
-        return -1;
-    }
-    const int fd = ::socket(AF_INET, SOCK_STREAM | SOCK_NONBLOCK | SOCK_CLOEXEC, 0);
-    if (fd < 0) {
-        return -1;
-    }
-    set_options(fd);
-    if (::connect(fd, reinterpret_cast<sockaddr*>(&a), sizeof a) != 0 && errno != EINPROGRESS) {
-        ::close(fd);
-        return -1;
-    }
-    return fd;
-}
-
 h2_connection::h2_connection(event_loop& loop, int fd, side which, h2_events& events)
     : loop_(loop), fd_(fd), side_(which), events_(events), alive_(std::make_shared<bool>(true))
 {
-    set_options(fd);
+    set_socket_options(fd, peer_unanswered);
     make_session();
     loop_.watch(fd_, EPOLLIN | EPOLLOUT, [this](std::uint32_t ready) { on_ready(ready); });
 }
--- a/lib/transport/http_server.cpp
+++ b/lib/transport/http_server.cpp
@@ -1,248 +1,403 @@
 #include "fescuedyke/transport/http_server.h"
 
-#include <pistache/endpoint.h>
-#include <pistache/http.h>
-#include <pistache/peer.h>
-
 #include <algorithm>
-#include <atomic>
-#include <cctype>
-#include <map>
-#include <mutex>
+#include <cassert>
+#include <deque>
 #include <optional>
-#include <set>
+#include <sys/epoll.h>
+#include <sys/socket.h>
+#include <unistd.h>
 #include <utility>
+#include <vector>
 
 namespace fescuedyke {
 
 namespace {
 
-namespace http = Pistache::Http;
+/// Requests of one connection that are open at a time; more are left unread.
+constexpr std::size_t most_pipelined = 32;
 
-std::string lower(std::string text)
-{
-    std::transform(text.begin(), text.end(), text.begin(),
-                   [](unsigned char c) { return static_cast<char>(std::tolower(c)); });
-    return text;
-}
+/// How often connections are checked for idleness and for heads that do not come.
+constexpr millis sweep_period{500};
 
-bool set_by_server(const std::string& name)
+/// Unacknowledged data closes a caller's connection after this.
+constexpr millis caller_unanswered{10'000};
+
+constexpr int head_timeout_status = 408;
+
+http_answer plain_answer(int status)
 {
-    return name == "content-length" || name == "transfer-encoding" || name == "connection";
+    http_answer answer;
+    answer.status = status;
+    answer.body = std::make_shared<const std::string>();
+    return answer;
 }
 
-/// Pistache writes only typed headers; this one has its name and value as they are.
-class named_header final : public http::Header::Header {
-public:
-    explicit named_header(const header& h) : name_(h.name), value_(h.value) {}
+} // namespace
 
-    const char* name() const override { return name_.c_str(); }
-    void write(std::ostream& stream) const override { stream << value_; }
-#ifdef SAFE_HEADER_CAST
-    std::uint64_t hash() const override
+class http_server::connection final : public std::enable_shared_from_this<connection> {
+public:
+    connection(http_server& server, std::uint64_t id, int fd)
+        : server_(server), id_(id), fd_(fd), reader_(server.limits_),
+          last_active_(server.loop_.now().now)
     {
-        return std::hash<std::string>{}(name_);
+        set_socket_options(fd_, caller_unanswered);
     }
-#endif
 
-private:
-    std::string name_;
-    std::string value_;
-};
+    ~connection()
+    {
+        if (fd_ >= 0) {
+            server_.loop_.unwatch(fd_);
+            ::close(fd_);
+        }
+    }
 
-http_request take_request(const http::Request& from)
-{
-    http_request request;
-    request.method = http::methodString(from.method());
-    request.path = from.resource() + from.query().as_str();
-    for (const auto& [name, raw] : from.headers().rawList()) {
-        request.headers.push_back({lower(raw.name()), raw.value()});
-    }
-    request.body = std::make_shared<const std::string>(from.body());
-    return request;
-}
+    connection(const connection&) = delete;
+    connection& operator=(const connection&) = delete;
 
-/// Open exchanges, shared by the serving threads and those that answer.
-class exchange_table {
-public:
-    exchange_id add(http::ResponseWriter writer, std::size_t peer)
+    void start()
     {
-        const std::lock_guard<std::mutex> lock(mutex_);
-        const exchange_id id(next_++);
-        by_peer_[peer].insert(id);
-        open_.emplace(id, entry{std::move(writer), peer});
-        return id;
+        server_.loop_.watch(fd_, watched_, [self = shared_from_this()](std::uint32_t events) {
+            self->on_ready(events);
+        });
     }
 
-    std::optional<http::ResponseWriter> take(exchange_id id)
+    void answer(exchange_id exchange, const http_answer& a)
     {
-        const std::lock_guard<std::mutex> lock(mutex_);
-        const auto found = open_.find(id);
-        if (found == open_.end()) {
-            return std::nullopt;
+        for (slot& s : slots_) {
+            if (s.exchange == exchange && !s.bytes) {
+                s.close = s.close || server_.winding_down_;
+                s.bytes = answer_head(a, s.close);
+                if (a.body && !s.is_head) {
+                    *s.bytes += *a.body;
+                }
+                break;
+            }
         }
-        std::optional<http::ResponseWriter> writer(std::move(found->second.writer));
-        forget(id, found->second.peer);
-        open_.erase(found);
-        return writer;
+        flush();
     }
 
-    std::set<exchange_id> take_all_of(std::size_t peer)
+    void on_sweep(instant now)
     {
-        const std::lock_guard<std::mutex> lock(mutex_);
-        const auto found = by_peer_.find(peer);
-        if (found == by_peer_.end()) {
-            return {};
+        const bool idle = slots_.empty() && out_.empty();
+        const bool partial = !in_.empty() || reading_;
+        if (idle && !partial && now - last_active_ > server_.limits_.idle_time) {
+            close();
+            return;
         }
-        std::set<exchange_id> ids = std::move(found->second);
-        by_peer_.erase(found);
-        for (const exchange_id id : ids) {
-            open_.erase(id);
+        if (reading_ && reader_.in_head() && now - began_ > server_.limits_.head_time) {
+            refuse(head_timeout_status);
         }
-        return ids;
     }
 
-private:
-    struct entry {
-        http::ResponseWriter writer;
-        std::size_t peer;
-    };
-
-    void forget(exchange_id id, std::size_t peer)
+    void close()
     {
-        const auto found = by_peer_.find(peer);
-        if (found != by_peer_.end()) {
-            found->second.erase(id);
-            if (found->second.empty()) {
-                by_peer_.erase(found);
-            }
+        if (fd_ < 0) {
+            return;
         }
+        const std::shared_ptr<connection> keep = shared_from_this();
+        server_.loop_.unwatch(fd_);
+        ::close(fd_);
+        fd_ = -1;
+        abandon_slots();
+        server_.drop(id_);
     }
 
-    std::mutex mutex_;
-    std::uint64_t next_ = 1;
-    std::map<exchange_id, entry> open_;
-    std::map<std::size_t, std::set<exchange_id>> by_peer_;
-};
+    void close_if_idle()
+    {
+        if (slots_.empty() && out_.empty() && in_.empty() && !reading_) {
+            close();
+        }
+    }
 
-class exchange_handler : public http::Handler {
-public:
-    HTTP_PROTOTYPE(exchange_handler)
+private:
+    struct slot {
+        exchange_id exchange;
+        bool is_head = false;
+        bool close = false;
+        std::optional<std::string> bytes;
+    };
 
-    exchange_handler(std::shared_ptr<exchange_table> table, http_server::handlers h)
-        : table_(std::move(table)), handlers_(std::move(h))
+    void on_ready(std::uint32_t events)
     {
+        if ((events & EPOLLOUT) != 0) {
+            flush();
+        }
+        if (fd_ >= 0 && (events & (EPOLLIN | EPOLLERR | EPOLLHUP | EPOLLRDHUP)) != 0) {
+            on_readable(events);
+        }
     }
 
-    void onRequest(const http::Request& request, http::ResponseWriter writer) override
+    void on_readable(std::uint32_t events)
     {
-        const std::shared_ptr<Pistache::Tcp::Peer> peer = writer.getPeer();
-        http_request taken = take_request(request);
-        const exchange_id id = table_->add(std::move(writer), peer->getID());
-        handlers_.on_request(id, std::move(taken));
+        if (last_request_seen_ || slots_.size() >= most_pipelined) {
+            // Nothing more is read; the end of the connection is still noticed.
+            if ((events & (EPOLLERR | EPOLLHUP | EPOLLRDHUP)) != 0) {
+                close();
+            }
+            return;
+        }
+        const socket_read got = read_some(fd_, in_);
+        if (got == socket_read::ended || got == socket_read::broken) {
+            close();
+            return;
+        }
+        take_requests();
     }
 
-    void onDisconnection(const std::shared_ptr<Pistache::Tcp::Peer>& peer) override
+    void take_requests()
     {
-        for (const exchange_id id : table_->take_all_of(peer->getID())) {
-            handlers_.on_gone(id);
+        while (fd_ >= 0 && !last_request_seen_ && slots_.size() < most_pipelined && !in_.empty()) {
+            if (!reading_) {
+                reading_ = true;
+                began_ = server_.loop_.now().now;
+            }
+            const read_progress progress = reader_.read(in_);
+            if (progress == read_progress::failed) {
+                refuse(reader_.error_status());
+                return;
+            }
+            if (progress == read_progress::more) {
+                if (reader_.take_expectation() && slots_.empty()) {
+                    out_ += continue_head();
+                    flush();
+                }
+                return;
+            }
+            reading_ = false;
+            take_one();
         }
+        rewatch();
     }
 
-private:
-    std::shared_ptr<exchange_table> table_;
-    http_server::handlers handlers_;
-};
-
-} // namespace
-
-class http_server::impl {
-public:
-    impl(const http_server_settings& settings, handlers h)
-        : settings_(settings), handlers_(std::move(h)), table_(std::make_shared<exchange_table>()),
-          endpoint_(Pistache::Address(settings.address.host, Pistache::Port(settings.address.port)))
+    void take_one()
     {
+        http_request request = reader_.take();
+        slot s;
+        s.exchange = exchange_id(server_.next_exchange_++);
+        s.is_head = request.method == "HEAD";
+        s.close = !reader_.keep_alive();
+        last_request_seen_ = s.close;
+        slots_.push_back(s);
+        server_.by_exchange_[s.exchange] = id_;
+        const std::shared_ptr<connection> keep = shared_from_this();
+        server_.handlers_.on_request(s.exchange, std::move(request));
     }
 
-    absl::Status start()
+    /// Ends the connection with an answer to what could not be read.
+    void refuse(int status)
     {
-        const auto options =
-            http::Endpoint::options()
-                .threads(settings_.threads)
-                .flags(Pistache::Tcp::Options::ReuseAddr | Pistache::Tcp::Options::NoDelay)
-                .maxRequestSize(settings_.max_request_bytes)
-                .maxResponseSize(settings_.max_request_bytes);
-        try {
-            endpoint_.init(options);
-            endpoint_.setHandler(http::make_handler<exchange_handler>(table_, handlers_));
-            endpoint_.serveThreaded();
-            started_ = true;
-        }
-        catch (const std::exception& error) {
-            return absl::UnavailableError("listen.http: " + std::string(error.what()));
-        }
-        return absl::OkStatus();
+        last_request_seen_ = true;
+        reading_ = false;
+        in_.clear();
+        slot s;
+        s.close = true;
+        s.bytes = answer_head(plain_answer(status), true);
+        slots_.push_back(std::move(s));
+        flush();
     }
 
-    void answer(exchange_id id, const http_answer& a)
+    void flush()
     {
-        std::optional<http::ResponseWriter> writer = table_->take(id);
-        if (!writer) {
+        while (!slots_.empty() && slots_.front().bytes) {
+            out_ += *slots_.front().bytes;
+            server_.by_exchange_.erase(slots_.front().exchange);
+            closing_ = closing_ || slots_.front().close;
+            slots_.pop_front();
+            last_active_ = server_.loop_.now().now;
+            if (closing_) {
+                abandon_slots();
+            }
+        }
+        if (fd_ < 0) {
             return;
         }
-        for (const header& h : a.headers) {
-            if (!set_by_server(h.name)) {
-                writer->headers().add(std::make_shared<named_header>(h));
+        if (!send_some(fd_, out_, sent_)) {
+            close();
+            return;
+        }
+        if (sent_ == out_.size()) {
+            out_.clear();
+            sent_ = 0;
+            if (closing_) {
+                close();
+                return;
             }
         }
-        const std::size_t size = a.body_bytes();
-        try {
-            writer->send(static_cast<http::Code>(a.status), size > 0 ? a.body->data() : "", size);
+        rewatch();
+        if (!in_.empty() && !resuming_ && !last_request_seen_) {
+            resume_reading();
         }
-        catch (const std::exception&) {
-            // The caller has gone; its outcome stands in the account.
+    }
+
+    /// What was left in the buffer is read once there is room for it.
+    void resume_reading()
+    {
+        resuming_ = true;
+        server_.loop_.post([self = shared_from_this()] {
+            self->resuming_ = false;
+            if (self->fd_ >= 0) {
+                self->take_requests();
+            }
+        });
+    }
+
+    void rewatch()
+    {
+        if (fd_ < 0) {
             return;
         }
+        const bool reads = !last_request_seen_ && slots_.size() < most_pipelined;
+        const std::uint32_t wanted =
+            EPOLLRDHUP | (reads ? EPOLLIN : 0U) | (out_.empty() ? 0U : EPOLLOUT);
+        if (wanted != watched_) {
+            watched_ = wanted;
+            server_.loop_.rewatch(fd_, wanted);
+        }
     }
 
-    void stop()
+    void abandon_slots()
     {
-        if (std::exchange(started_, false)) {
-            endpoint_.shutdown();
+        const std::deque<slot> open = std::exchange(slots_, {});
+        for (const slot& s : open) {
+            if (server_.by_exchange_.erase(s.exchange) > 0 && !s.bytes) {
+                server_.handlers_.on_gone(s.exchange);
+            }
         }
     }
 
-private:
-    http_server_settings settings_;
-    handlers handlers_;
-    std::shared_ptr<exchange_table> table_;
-    http::Endpoint endpoint_;
-    bool started_ = false;
+    http_server& server_;
+    std::uint64_t id_;
+    int fd_;
+    request_reader reader_;
+    std::string in_;
+    std::string out_;
+    std::size_t sent_ = 0;
+    std::deque<slot> slots_;
+    std::uint32_t watched_ = EPOLLIN | EPOLLRDHUP;
+    /// A request is coming in.
+    bool reading_ = false;
+    bool resuming_ = false;
+    /// No request is taken any more.
+    bool last_request_seen_ = false;
+    bool closing_ = false;
+    instant began_;
+    instant last_active_;
 };
 
-http_server::http_server(const http_server_settings& settings, handlers h)
-    : impl_(std::make_unique<impl>(settings, std::move(h)))
+http_server::http_server(event_loop& loop, const http_limits& limits, handlers h,
+                         std::uint64_t first)
+    : loop_(loop), limits_(limits), handlers_(std::move(h)), next_exchange_(first),
+      alive_(std::make_shared<bool>(true))
 {
 }
 
 http_server::~http_server()
 {
-    stop();
+    *alive_ = false;
+    stop_listening();
+    // Callers that wait are not told: their node is gone.
+    handlers_.on_gone = [](exchange_id) {};
+    const auto open = std::exchange(connections_, {});
+    for (const auto& [id, c] : open) {
+        c->close();
+    }
+}
+
+absl::Status http_server::listen(const endpoint& address)
+{
+    if (absl::Status listening = listen_on(address, fd_); !listening.ok()) {
+        return listening;
+    }
+    loop_.watch(fd_, EPOLLIN, [this](std::uint32_t) { accept_ready(); });
+    return absl::OkStatus();
+}
+
+void http_server::accept_ready()
+{
+    for (;;) {
+        const int fd = ::accept4(fd_, nullptr, nullptr, SOCK_NONBLOCK | SOCK_CLOEXEC);
+        if (fd < 0) {
+            return;
+        }
+        const std::uint64_t id = next_connection_++;
+        const auto added = std::make_shared<connection>(*this, id, fd);
+        connections_[id] = added;
+        added->start();
+        if (!sweeping_) {
+            sweeping_ = true;
+            loop_.after(sweep_period, [this, alive = alive_] {
+                if (*alive) {
+                    sweep();
+                }
+            });
+        }
+    }
+}
+
+void http_server::sweep()
+{
+    sweeping_ = !connections_.empty();
+    if (!sweeping_) {
+        return;
+    }
+    loop_.after(sweep_period, [this, alive = alive_] {
+        if (*alive) {
+            sweep();
+        }
+    });
+    const instant now = loop_.now().now;
+    const std::map<std::uint64_t, std::shared_ptr<connection>> open = connections_;
+    for (const auto& [id, c] : open) {
+        c->on_sweep(now);
+    }
+}
+
+void http_server::drop(std::uint64_t connection)
+{
+    const auto found = connections_.find(connection);
+    if (found != connections_.end()) {
+        // The connection's own functions are still on the stack.
+        loop_.post([old = std::move(found->second)] {});
+        connections_.erase(found);
+    }
 }
 
-absl::Status http_server::start()
+void http_server::answer(exchange_id exchange, const http_answer& a)
 {
-    return impl_->start();
+    if (!loop_.in_loop()) {
+        loop_.post([this, alive = alive_, exchange, a] {
+            if (*alive) {
+                answer(exchange, a);
+            }
+        });
+        return;
+    }
+    const auto found = by_exchange_.find(exchange);
+    if (found == by_exchange_.end()) {
+        return;
+    }
+    const auto c = connections_.find(found->second);
+    assert(c != connections_.end() && "an open exchange has a connection");
+    const std::shared_ptr<connection> keep = c->second;
+    keep->answer(exchange, a);
 }
 
-void http_server::answer(exchange_id exchange, const http_answer& answer)
+void http_server::close_idle()
 {
-    impl_->answer(exchange, answer);
+    const std::map<std::uint64_t, std::shared_ptr<connection>> open = connections_;
+    for (const auto& [id, c] : open) {
+        c->close_if_idle();
+    }
 }
 
-void http_server::stop()
+void http_server::stop_listening()
 {
-    impl_->stop();
+    if (fd_ >= 0) {
+        loop_.unwatch(fd_);
+        ::close(fd_);
+        fd_ = -1;
+    }
 }
 
 } // namespace fescuedyke
--- a/lib/transport/target_client.cpp
+++ b/lib/transport/target_client.cpp
@@ -1,254 +1,380 @@
 #include "fescuedyke/transport/target_client.h"
 
+#include "fescuedyke/transport/http_codec.h"
+#include "fescuedyke/transport/socket.h"
+
 #include <algorithm>
-#include <cctype>
 #include <sys/epoll.h>
+#include <unistd.h>
 #include <utility>
 
 namespace fescuedyke {
 
 namespace {
 
-constexpr long connect_timeout_ms = 1000;
-constexpr long most_kept_connections = 128;
-constexpr std::size_t most_idle_handles = 256;
+/// Unacknowledged data closes a connection to a target after this.
+constexpr millis target_unanswered{1500};
 
-target_failure failure_of(CURLcode code, bool sent)
-{
-    switch (code) {
-    case CURLE_COULDNT_CONNECT:
-    case CURLE_COULDNT_RESOLVE_HOST:
-    case CURLE_URL_MALFORMAT:
-        return target_failure::never_sent;
-    case CURLE_PARTIAL_FILE:
-        return target_failure::truncated;
-    case CURLE_OPERATION_TIMEDOUT:
-        return sent ? target_failure::lost : target_failure::never_sent;
-    default:
-        return target_failure::lost;
-    }
-}
+/// How long a connection is kept when the target does not say how long it keeps it.
+constexpr millis default_idle{4000};
+
+/// Kept connections are given up this long before the target closes them.
+constexpr millis idle_margin{700};
+
+/// Unrepeatable requests use a kept connection only when it was in use so lately.
+constexpr millis lately{1000};
 
 } // namespace
 
-struct target_client::transfer {
-    std::uint64_t id = 0;
-    CURL* easy = nullptr;
-    curl_slist* headers = nullptr;
-    shared_request request;
-    http_answer answer;
-    std::string body;
-    callback done;
+class target_client::connection final : public std::enable_shared_from_this<connection> {
+public:
+    connection(target_client& owner, endpoint address) : owner_(owner), address_(std::move(address))
+    {
+    }
 
-    ~transfer() { curl_slist_free_all(headers); }
-};
+    ~connection() { release(); }
 
-target_client::target_client(event_loop& loop) : loop_(loop), multi_(curl_multi_init())
-{
-    curl_multi_setopt(multi_, CURLMOPT_SOCKETFUNCTION, on_socket);
-    curl_multi_setopt(multi_, CURLMOPT_SOCKETDATA, this);
-    curl_multi_setopt(multi_, CURLMOPT_TIMERFUNCTION, on_timer);
-    curl_multi_setopt(multi_, CURLMOPT_TIMERDATA, this);
-    curl_multi_setopt(multi_, CURLMOPT_MAXCONNECTS, most_kept_connections);
-}
+    connection(const connection&) = delete;
+    connection& operator=(const connection&) = delete;
 
-target_client::~target_client()
-{
-    for (const auto& [id, t] : transfers_) {
-        curl_multi_remove_handle(multi_, t->easy);
-        curl_easy_cleanup(t->easy);
+    bool connect()
+    {
+        fd_ = start_connect(address_);
+        if (fd_ < 0) {
+            return false;
+        }
+        set_socket_options(fd_, target_unanswered);
+        owner_.loop_.watch(fd_, watched_, [self = shared_from_this()](std::uint32_t events) {
+            self->on_ready(events);
+        });
+        return true;
     }
-    for (CURL* easy : idle_) {
-        curl_easy_cleanup(easy);
+
+    void begin(std::uint64_t id, const target_request& request, callback done)
+    {
+        id_ = id;
+        request_ = request;
+        done_ = std::move(done);
+        progress_ = false;
+        reader_.begin(request.request->method);
+        std::vector<header> extra = request.extra_headers;
+        if (find_header(request.request->headers, "host") == nullptr) {
+            extra.push_back({"Host", to_string(address_)});
+        }
+        out_ = request_head(*request.request, extra);
+        if (request.request->body) {
+            out_ += *request.request->body;
+        }
+        sent_ = 0;
+        answered_ = false;
+        if (connected_) {
+            flush();
+        }
     }
-    curl_multi_cleanup(multi_);
-    if (timer_set_) {
-        loop_.cancel(timer_);
+
+    /// Forgets its request and closes.
+    void cancel()
+    {
+        done_ = nullptr;
+        close();
     }
-}
 
-CURL* target_client::take_handle()
-{
-    if (idle_.empty()) {
-        return curl_easy_init();
+    bool serves(const endpoint& address) const { return address_ == address; }
+    bool closed() const { return fd_ < 0; }
+    instant idle_until() const { return idle_until_; }
+    instant last_used() const { return last_used_; }
+    std::uint64_t id() const { return id_; }
+
+private:
+    void on_ready(std::uint32_t events)
+    {
+        const std::shared_ptr<connection> keep = shared_from_this();
+        if (!connected_ && (events & (EPOLLERR | EPOLLHUP)) != 0) {
+            fail(target_failure::never_sent);
+            return;
+        }
+        connected_ = true;
+        if ((events & EPOLLOUT) != 0) {
+            flush();
+        }
+        if (fd_ >= 0 && (events & (EPOLLIN | EPOLLERR | EPOLLHUP)) != 0) {
+            on_readable();
+        }
     }
-    CURL* easy = idle_.back();
-    idle_.pop_back();
-    curl_easy_reset(easy);
-    return easy;
-}
 
-void target_client::send(std::uint64_t id, const target_request& request, callback done)
+    void flush()
+    {
+        const std::size_t before = sent_;
+        const bool good = send_some(fd_, out_, sent_);
+        progress_ = progress_ || sent_ > before;
+        if (!good) {
+            // What the target said before it broke off may still be there.
+            if (!answered_) {
+                on_readable();
+            }
+            if (fd_ >= 0) {
+                fail(progress_ ? target_failure::lost : target_failure::never_sent);
+            }
+            return;
+        }
+        if (sent_ == out_.size()) {
+            out_.clear();
+            sent_ = 0;
+            if (answered_) {
+                rest();
+            }
+        }
+        rewatch();
+    }
+
+    void rewatch()
+    {
+        const std::uint32_t wanted = EPOLLIN | (out_.empty() ? 0U : EPOLLOUT);
+        if (fd_ >= 0 && wanted != watched_) {
+            watched_ = wanted;
+            owner_.loop_.rewatch(fd_, wanted);
+        }
+    }
+
+    void on_readable()
+    {
+        for (;;) {
+            const socket_read got = read_some(fd_, in_);
+            if (got == socket_read::nothing) {
+                return;
+            }
+            const bool expected = done_ != nullptr;
+            if (!expected) {
+                // Nobody asked for these bytes, or the target ends a kept connection.
+                close();
+                return;
+            }
+            if (got == socket_read::broken) {
+                fail(failure_now());
+                return;
+            }
+            if (got == socket_read::ended) {
+                on_end();
+                return;
+            }
+            if (!take_answer()) {
+                return;
+            }
+        }
+    }
+
+    /// Returns whether more is to be read.
+    bool take_answer()
+    {
+        while (!in_.empty()) {
+            const read_progress progress = reader_.read(in_);
+            if (progress == read_progress::failed) {
+                fail(target_failure::truncated);
+                return false;
+            }
+            if (progress == read_progress::more) {
+                return true;
+            }
+            if (deliver(reader_.take())) {
+                return false;
+            }
+            reader_.begin(request_.request->method);
+        }
+        return true;
+    }
+
+    void on_end()
+    {
+        const bool whole = reader_.head_seen() && reader_.finish();
+        reusable_ = false;
+        if (!whole || !deliver(reader_.take())) {
+            fail(failure_now());
+        }
+    }
+
+    target_failure failure_now() const
+    {
+        return reader_.head_seen() ? target_failure::truncated : target_failure::lost;
+    }
+
+    /// Returns false when the answer belongs to another request.
+    bool deliver(http_answer answer)
+    {
+        if (request_.echoed) {
+            const std::string* echo = find_header(answer.headers, request_.echoed->name);
+            if (echo == nullptr || *echo != request_.echoed->value) {
+                return false;
+            }
+        }
+        reusable_ = reusable_ && reader_.keep_alive() && in_.empty();
+        const instant now = owner_.loop_.now().now;
+        const millis kept = reader_.idle_time() > millis(0) ? reader_.idle_time() : default_idle;
+        idle_until_ = now + std::max(millis(0), kept - idle_margin);
+        last_used_ = now;
+        answered_ = true;
+        const callback done = std::exchange(done_, nullptr);
+        const std::uint64_t id = id_;
+        const std::shared_ptr<connection> self = shared_from_this();
+        if (!reusable_) {
+            close();
+        }
+        else if (out_.empty()) {
+            rest();
+        }
+        // A target may answer before it has read the whole request; the rest is sent all the same.
+        owner_.busy_.erase(id);
+        done(std::move(answer));
+        return true;
+    }
+
+    void rest() { owner_.on_idle(shared_from_this()); }
+
+    void fail(target_failure failure)
+    {
+        const callback done = std::exchange(done_, nullptr);
+        const std::uint64_t id = id_;
+        const target_request request = request_;
+        const bool stale = used_before() && !reader_.head_seen() && failure == target_failure::lost;
+        close();
+        if (!done) {
+            return;
+        }
+        target_client& owner = owner_;
+        owner.busy_.erase(id);
+        if (stale && request.may_repeat) {
+            owner.start(id, request, done, true);
+            return;
+        }
+        done(failure);
+    }
+
+    bool used_before() const { return last_used_ != instant(); }
+
+    void close()
+    {
+        if (fd_ < 0) {
+            return;
+        }
+        const std::shared_ptr<connection> keep = shared_from_this();
+        release();
+        owner_.on_closed(keep);
+    }
+
+    void release()
+    {
+        if (fd_ >= 0) {
+            owner_.loop_.unwatch(fd_);
+            ::close(fd_);
+            fd_ = -1;
+        }
+    }
+
+    target_client& owner_;
+    endpoint address_;
+    int fd_ = -1;
+    bool connected_ = false;
+    std::uint32_t watched_ = EPOLLIN | EPOLLOUT;
+    std::uint64_t id_ = 0;
+    target_request request_;
+    callback done_;
+    answer_reader reader_;
+    std::string in_;
+    std::string out_;
+    std::size_t sent_ = 0;
+    /// Whether any byte of the request has left.
+    bool progress_ = false;
+    bool answered_ = false;
+    bool reusable_ = true;
+    instant idle_until_;
+    instant last_used_;
+};
+
+target_client::target_client(event_loop& loop) : loop_(loop) {}
+
+target_client::~target_client()
 {
-    auto t = std::make_unique<transfer>();
-    t->id = id;
-    t->easy = take_handle();
-    t->request = request.request;
-    t->done = std::move(done);
-    const http_request& r = *request.request;
-    const auto add = [&](const std::string& line) {
-        t->headers = curl_slist_append(t->headers, line.c_str());
-    };
-    for (const header& h : r.headers) {
-        add(h.name + ": " + h.value);
-    }
-    for (const header& h : request.extra_headers) {
-        add(h.name + ": " + h.value);
-    }
-    // The usual targets here close a connection without this, and do not answer "Expect".
-    add("Connection: keep-alive");
-    add("Expect:");
-    const std::string url =
-        "http://" + request.address.host + ":" + std::to_string(request.address.port) + r.path;
-    CURL* easy = t->easy;
-    curl_easy_setopt(easy, CURLOPT_URL, url.c_str());
-    curl_easy_setopt(easy, CURLOPT_CUSTOMREQUEST, r.method.c_str());
-    curl_easy_setopt(easy, CURLOPT_NOBODY, r.method == "HEAD" ? 1L : 0L);
-    if (r.body_bytes() > 0 || r.method == "POST" || r.method == "PUT") {
-        curl_easy_setopt(easy, CURLOPT_POSTFIELDSIZE_LARGE,
-                         static_cast<curl_off_t>(r.body_bytes()));
-        curl_easy_setopt(easy, CURLOPT_POSTFIELDS, r.body ? r.body->data() : "");
-    }
-    curl_easy_setopt(easy, CURLOPT_HTTPHEADER, t->headers);
-    curl_easy_setopt(easy, CURLOPT_HTTP_VERSION, CURL_HTTP_VERSION_1_1);
-    curl_easy_setopt(easy, CURLOPT_PATH_AS_IS, 1L);
-    curl_easy_setopt(easy, CURLOPT_NOSIGNAL, 1L);
-    curl_easy_setopt(easy, CURLOPT_TCP_NODELAY, 1L);
-    curl_easy_setopt(easy, CURLOPT_CONNECTTIMEOUT_MS, connect_timeout_ms);
-    // On a kept connection that dies without an answer libcurl sends the request once more, which
-    // work that must run at most once does not bear.
-    curl_easy_setopt(easy, CURLOPT_FRESH_CONNECT, request.may_repeat ? 0L : 1L);
-    curl_easy_setopt(easy, CURLOPT_HEADERFUNCTION, on_header);
-    curl_easy_setopt(easy, CURLOPT_HEADERDATA, t.get());
-    curl_easy_setopt(easy, CURLOPT_WRITEFUNCTION, on_body);
-    curl_easy_setopt(easy, CURLOPT_WRITEDATA, t.get());
-    curl_easy_setopt(easy, CURLOPT_PRIVATE, t.get());
-    transfers_[id] = std::move(t);
-    curl_multi_add_handle(multi_, easy);
+    const auto idle = std::exchange(idle_, {});
+    const auto busy = std::exchange(busy_, {});
+    for (const auto& c : idle) {
+        c->cancel();
+    }
+    for (const auto& [id, c] : busy) {
+        c->cancel();
+    }
 }
 
-void target_client::cancel(std::uint64_t id)
+std::shared_ptr<target_client::connection> target_client::take_idle(const target_request& request)
 {
-    const auto found = transfers_.find(id);
-    if (found == transfers_.end()) {
-        return;
-    }
-    CURL* easy = found->second->easy;
-    curl_multi_remove_handle(multi_, easy);
-    curl_easy_cleanup(easy);
-    transfers_.erase(found);
+    const instant now = loop_.now().now;
+    for (auto it = idle_.rbegin(); it != idle_.rend(); ++it) {
+        const std::shared_ptr<connection> c = *it;
+        const bool fresh =
+            now < c->idle_until() && (request.may_repeat || now - c->last_used() < lately);
+        if (c->serves(request.address) && fresh) {
+            idle_.erase(std::next(it).base());
+            return c;
+        }
+    }
+    return nullptr;
 }
 
-std::size_t target_client::on_header(char* data, std::size_t size, std::size_t count, void* self)
+void target_client::send(std::uint64_t id, const target_request& request, callback done)
 {
-    auto* t = static_cast<transfer*>(self);
-    const std::string line(data, size * count);
-    if (line.rfind("HTTP/", 0) == 0) {
-        // An interim answer was only a beginning.
-        t->answer.headers.clear();
-        return size * count;
-    }
-    const auto colon = line.find(':');
-    if (colon != std::string::npos) {
-        std::string name = line.substr(0, colon);
-        std::transform(name.begin(), name.end(), name.begin(),
-                       [](unsigned char c) { return static_cast<char>(std::tolower(c)); });
-        const auto begin = line.find_first_not_of(" \t", colon + 1);
-        const auto end = line.find_last_not_of(" \t\r\n");
-        const bool empty = begin == std::string::npos || end < begin;
-        t->answer.headers.push_back({name, empty ? "" : line.substr(begin, end - begin + 1)});
-    }
-    return size * count;
+    start(id, request, std::move(done), false);
 }
 
-std::size_t target_client::on_body(char* data, std::size_t size, std::size_t count, void* self)
+void target_client::start(std::uint64_t id, const target_request& request, callback done,
+                          bool fresh_only)
 {
-    static_cast<transfer*>(self)->body.append(data, size * count);
-    return size * count;
+    std::shared_ptr<connection> c = fresh_only ? nullptr : take_idle(request);
+    if (!c) {
+        c = std::make_shared<connection>(*this, request.address);
+        ++connections_made_;
+        if (!c->connect()) {
+            loop_.post([done = std::move(done)] { done(target_failure::never_sent); });
+            return;
+        }
+    }
+    busy_[id] = c;
+    c->begin(id, request, std::move(done));
 }
 
-int target_client::on_socket(CURL* easy, curl_socket_t fd, int what, void* self, void* socket)
+void target_client::cancel(std::uint64_t id)
 {
-    (void)easy;
-    (void)socket;
-    auto* client = static_cast<target_client*>(self);
-    if (what == CURL_POLL_REMOVE) {
-        client->loop_.unwatch(fd);
-        return 0;
-    }
-    std::uint32_t events = 0;
-    if ((what & CURL_POLL_IN) != 0) {
-        events |= EPOLLIN;
-    }
-    if ((what & CURL_POLL_OUT) != 0) {
-        events |= EPOLLOUT;
-    }
-    client->loop_.watch(fd, events, [client, fd](std::uint32_t ready) {
-        int flags = (ready & EPOLLIN) != 0 ? CURL_CSELECT_IN : 0;
-        flags |= (ready & EPOLLOUT) != 0 ? CURL_CSELECT_OUT : 0;
-        flags |= (ready & (EPOLLERR | EPOLLHUP)) != 0 ? CURL_CSELECT_ERR : 0;
-        client->act(fd, flags);
-    });
-    return 0;
+    const auto found = busy_.find(id);
+    if (found != busy_.end()) {
+        const std::shared_ptr<connection> c = std::move(found->second);
+        busy_.erase(found);
+        c->cancel();
+    }
 }
 
-int target_client::on_timer(CURLM* multi, long timeout_ms, void* self)
+void target_client::on_idle(const std::shared_ptr<connection>& c)
 {
-    (void)multi;
-    auto* client = static_cast<target_client*>(self);
-    if (client->timer_set_) {
-        client->loop_.cancel(client->timer_);
-        client->timer_set_ = false;
-    }
-    if (timeout_ms >= 0) {
-        client->timer_set_ = true;
-        client->timer_ = client->loop_.after(millis(timeout_ms), [client] {
-            client->timer_set_ = false;
-            client->act(CURL_SOCKET_TIMEOUT, 0);
-        });
+    const instant now = loop_.now().now;
+    std::vector<std::shared_ptr<connection>> old;
+    for (const auto& kept : idle_) {
+        if (now >= kept->idle_until()) {
+            old.push_back(kept);
+        }
+    }
+    for (const auto& kept : old) {
+        kept->cancel();
     }
-    return 0;
+    idle_.push_back(c);
 }
 
-void target_client::act(curl_socket_t fd, int events)
+void target_client::on_closed(const std::shared_ptr<connection>& c)
 {
-    int running = 0;
-    curl_multi_socket_action(multi_, fd, events, &running);
-    collect();
+    idle_.erase(std::remove(idle_.begin(), idle_.end(), c), idle_.end());
+    loop_.post([c] {});
 }
 
-void target_client::collect()
+void target_client::close_idle()
 {
-    int left = 0;
-    while (CURLMsg* message = curl_multi_info_read(multi_, &left)) {
-        if (message->msg != CURLMSG_DONE) {
-            continue;
-        }
-        CURL* easy = message->easy_handle;
-        const CURLcode code = message->data.result;
-        transfer* raw = nullptr;
-        curl_easy_getinfo(easy, CURLINFO_PRIVATE, &raw);
-        long status = 0;
-        curl_easy_getinfo(easy, CURLINFO_RESPONSE_CODE, &status);
-        curl_off_t sent_at = 0;
-        curl_easy_getinfo(easy, CURLINFO_PRETRANSFER_TIME_T, &sent_at);
-        const auto found = transfers_.find(raw->id);
-        const std::unique_ptr<transfer> t = std::move(found->second);
-        transfers_.erase(found);
-        curl_multi_remove_handle(multi_, easy);
-        if (idle_.size() < most_idle_handles) {
-            idle_.push_back(easy);
-        }
-        else {
-            curl_easy_cleanup(easy);
-        }
-        if (code != CURLE_OK) {
-            t->done(target_result(failure_of(code, sent_at > 0)));
-            continue;
-        }
-        t->answer.status = static_cast<int>(status);
-        t->answer.body = std::make_shared<const std::string>(std::move(t->body));
-        t->done(target_result(std::move(t->answer)));
+    const auto idle = idle_;
+    for (const auto& c : idle) {
+        c->cancel();
     }
 }
 
--- a/tools/fescuedyke/main.cpp
+++ b/tools/fescuedyke/main.cpp
@@ -4,7 +4,6 @@
 #include "fescuedyke/settings/process_settings.h"
 
 #include <boost/program_options.hpp>
-#include <curl/curl.h>
 #include <nlohmann/json.hpp>
 
 #include <iostream>
@@ -33,7 +32,6 @@
         given.count("seed") != 0 ? given["seed"].as<std::uint64_t>() : std::random_device{}();
     fescuedyke::start_log(settings->instance.value(), settings->log_level);
     fescuedyke::write_log(fescuedyke::log_level::info, "seed", {{"seed", seed}});
-    curl_global_init(CURL_GLOBAL_DEFAULT);
     fescuedyke::daemon_process process(*settings, seed);
     const absl::Status ended = process.run();
     if (!ended.ok()) {
