--- a/bench/world/world.cpp
+++ b/bench/world/world.cpp
@@ -295,7 +295,7 @@
         return;
     }
     http_answer shed{503, {{not_run_header, "true"}}, nullptr};
-    at(millis(0), [=] { handle(name, target_answered{call, shed}); });
+    at(millis(0), [=] { handle(name, target_answered{call, shed, says_not_run(shed)}); });
 }
 
 void simulation::begin(site& s, const dispatch_call& a)
@@ -376,7 +376,7 @@
     const std::string key = runs_[found->second.entry].key;
     end_run(s, call, status == 200);
     http_answer answer{status, {}, std::make_shared<const std::string>(key)};
-    handle(s.options.name, target_answered{call, answer});
+    handle(s.options.name, target_answered{call, answer, says_not_run(answer)});
 }
 
 void simulation::carry_out(site& s, const cancel_dispatch& a)
--- a/include/fescuedyke/call/context.h
+++ b/include/fescuedyke/call/context.h
@@ -34,10 +34,15 @@
     /// Retries lent to this attempt and all below it.
     int allowance = 0;
     bool idempotent = false;
+    /// Unrepeatable work that has no key: this call goes to one target and is sent to no other
+    /// unless it provably did not run.
+    bool keyless = false;
     /// Idempotency key; empty for idempotent work.
     std::string key;
     /// The client's own count of its tries under the key, from 0.
     int client_attempt = 0;
+    /// The start of the target that shall serve the call; empty for any.
+    std::string target;
     label_set labels;
 };
 
--- a/include/fescuedyke/codec/common_fields.h
+++ b/include/fescuedyke/codec/common_fields.h
@@ -66,7 +66,7 @@
 template <class A> void fields(A& a, call_context& x)
 {
     a(x.call, x.root, x.flow, x.origin, x.service, x.order, x.attempt, x.depth, x.time_left, x.sent,
-      x.allowance, x.idempotent, x.key, x.client_attempt, x.labels);
+      x.allowance, x.idempotent, x.keyless, x.key, x.client_attempt, x.target, x.labels);
 }
 template <class A> void fields(A& a, endpoint& x)
 {
@@ -78,7 +78,7 @@
 }
 template <class A> void fields(A& a, target_announcement& x)
 {
-    a(x.service, x.labels, x.slots, x.state);
+    a(x.service, x.identity, x.labels, x.slots, x.state, x.warm_up);
 }
 template <class A> void fields(A& a, node_record& x)
 {
--- a/include/fescuedyke/consensus/raft_core.h
+++ b/include/fescuedyke/consensus/raft_core.h
@@ -28,6 +28,12 @@
     std::size_t snapshot_chunk_bytes = 256U << 10U;
     /// Silence after which the leader replaces a member whose instance came back with another disk.
     millis replace_after{3000};
+    /// Whether a member with an empty log may take part in the first meeting.
+    bool may_found = true;
+    /// Members that shall vote. While there are fewer, instances that ask to join become members;
+    /// one more than these takes the place of a member that has fallen silent. 0: the initial
+    /// members are the only ones.
+    std::size_t voters_wanted = 0;
 };
 
 /// What a member starts from: all that its disk holds.
@@ -146,6 +152,10 @@
     void start_election(bool pre_vote, bool handed_over, instant now);
     void ask_to_join(instant now);
     bool replace_returned(member_list next, const member_id& id, const joiner& j, instant now);
+    bool promote_learner(instant now);
+    bool retire_silent(instant now);
+    bool admit_new(const member_id& id, const joiner& j, instant now);
+    bool is_silent(const member_entry& m, instant now) const;
     void become_leader(instant now);
     void tick_leader(instant now);
     void reset_election_timer(instant now);
--- a/include/fescuedyke/control/account_book.h
+++ b/include/fescuedyke/control/account_book.h
@@ -66,6 +66,8 @@
     file_system& files_;
     std::map<account_source, account_entry> entries_;
     std::vector<account_report> unwritten_;
+    /// A write has failed; its rest may stand at the end of the file.
+    bool torn_ = false;
     std::size_t file_bytes_ = 0;
     std::size_t live_bytes_ = 0;
 };
--- a/include/fescuedyke/control/control_core.h
+++ b/include/fescuedyke/control/control_core.h
@@ -38,6 +38,10 @@
     millis plan_period{200};
     /// Operators' changes that are neither committed nor lost by then are answered "unknown".
     millis change_timeout{5000};
+    /// Whether buckets of keys are given to owners.
+    bool assigns_keys = true;
+    /// A disk that refused a write is tried again this often.
+    millis disk_retry{200};
 };
 
 /// Names an open request of an adapter.
@@ -72,6 +76,16 @@
     policy_change change;
 };
 
+struct document_requested {
+    request_id request;
+    document_change change;
+};
+
+/// The document in force is asked for; it is told only when it is surely the newest.
+struct document_read {
+    request_id request;
+};
+
 struct control_tick {};
 
 /// The process stops as planned.
@@ -79,7 +93,8 @@
 
 using control_event =
     std::variant<consensus_received, poll_received, member_sync_received, member_sync_answered,
-                 account_report_received, change_requested, control_tick, control_stopping>;
+                 account_report_received, change_requested, document_requested, document_read,
+                 control_tick, control_stopping>;
 
 struct send_consensus {
     endpoint address;
@@ -128,8 +143,16 @@
     std::optional<endpoint> leader_api;
 };
 
-using control_action =
-    std::variant<send_consensus, answer_poll, send_member_sync, answer_member_sync, answer_change>;
+/// The document in force, or why it is not told.
+struct answer_document {
+    request_id request;
+    change_outcome outcome = change_outcome::unknown;
+    route_document document;
+    std::optional<endpoint> leader_api;
+};
+
+using control_action = std::variant<send_consensus, answer_poll, send_member_sync,
+                                    answer_member_sync, answer_change, answer_document>;
 using control_actions = std::vector<control_action>;
 
 /// Takes one event and the time, and returns what is to be done.
@@ -144,8 +167,8 @@
 
     control_actions handle(const control_event& event, moment at);
 
-    /// Returns why this member's disk can no longer be relied on. A member whose disk failed takes
-    /// no further part.
+    /// Returns why this member's disk can not be relied on. A member takes no part while its disk
+    /// refuses writes.
     const absl::Status& disk() const { return disk_; }
 
     const raft_core& raft() const { return raft_; }
@@ -174,9 +197,16 @@
     void on(const member_sync_answered& event, moment at);
     void on(const account_report_received& event, moment at);
     void on(const change_requested& event, moment at);
+    void on(const document_requested& event, moment at);
+    void on(const document_read& event, moment at);
     void on(const control_tick& event, moment at);
     void on(const control_stopping& event, moment at);
 
+    template <class Change>
+    void propose_change(request_id request, const Change& change, instant now);
+    template <class Change> void apply_change(const Change& change);
+    void answer_reads(instant now);
+    bool persist(const raft_output& output, instant now);
     void run_raft(instant now);
     void restore(const snapshot& base);
     void apply(const log_entry& entry, instant now);
@@ -204,9 +234,15 @@
     control_actions actions_;
     /// Changes proposed here whose outcome is awaited, by change id.
     std::map<std::string, std::vector<pending_change>> pending_;
+    /// Reads that wait until a quorum has confirmed that this member led after they came.
+    std::vector<pending_change> reads_;
+    /// What the disk refused, to be tried again.
+    std::optional<raft_output> unwritten_;
+    instant write_again_;
     std::optional<log_index> pending_owner_change_;
     log_index applied_;
     log_index own_first_entry_;
+    bool accounts_ok_ = true;
     bool led_ = false;
     bool stopping_ = false;
     instant last_sync_;
--- a/include/fescuedyke/control/control_fields.h
+++ b/include/fescuedyke/control/control_fields.h
@@ -22,6 +22,14 @@
 {
     a(x.change_id, x.operator_name, x.owner, x.name, x.based_on, x.yaml, x.remove, x.is_private);
 }
+template <class A> void fields(A& a, document_change& x)
+{
+    a(x.change_id, x.based_on, x.version, x.text);
+}
+template <class A> void fields(A& a, route_document& x)
+{
+    a(x.version, x.changed_in, x.text);
+}
 template <class A> void fields(A& a, change_result& x)
 {
     a(x.code, x.policy_version, x.version);
@@ -40,8 +48,8 @@
 }
 template <class A> void fields(A& a, poll_reply& x)
 {
-    a(x.member, x.members, x.leader, x.beacon_age, x.version, x.policies, x.owners_version,
-      x.owners, x.view, x.lease);
+    a(x.member, x.members, x.leader, x.beacon_age, x.version, x.policies, x.document,
+      x.owners_version, x.owners, x.view, x.lease);
 }
 template <class A> void fields(A& a, member_sync& x)
 {
--- a/include/fescuedyke/control/control_state.h
+++ b/include/fescuedyke/control/control_state.h
@@ -1,6 +1,7 @@
 #ifndef FESCUEDYKE_CONTROL_CONTROL_STATE_H
 #define FESCUEDYKE_CONTROL_CONTROL_STATE_H
 
+#include "fescuedyke/call/message.h"
 #include "fescuedyke/once/ownership.h"
 #include "fescuedyke/support/ids.h"
 
@@ -47,12 +48,32 @@
     bool is_private = false;
 };
 
+/// Puts a whole document of routes in the place of the one in force.
+struct document_change {
+    /// The same for a resend, another for every other change.
+    std::string change_id;
+    /// Version of the document that the change was made against; 0 when there was none.
+    std::uint64_t based_on = 0;
+    /// Chosen by the operator; must be above the version in force.
+    std::uint64_t version = 0;
+    /// The document as the operator wrote it.
+    payload text;
+};
+
+/// The document of routes in force; its version is 0 while there is none.
+struct route_document {
+    std::uint64_t version = 0;
+    /// Version of the whole configuration that made the change.
+    config_version changed_in;
+    payload text;
+};
+
 enum class change_code : std::uint8_t { accepted, conflict };
 
 /// The answer to a change; a resend gets the same.
 struct change_result {
     change_code code = change_code::accepted;
-    /// Version of the policy now in force.
+    /// Version of the policy, or of the document, now in force.
     std::uint64_t policy_version = 0;
     /// Version of the whole configuration after the change.
     config_version version;
@@ -69,7 +90,7 @@
     std::vector<grant> grants;
 };
 
-using control_command = std::variant<policy_change, owner_change>;
+using control_command = std::variant<policy_change, owner_change, document_change>;
 
 /// Names a policy among those of all owners.
 std::string policy_key(const owner_name& owner, const std::string& name);
@@ -80,6 +101,7 @@
     /// Applies \p change and remembers its result under its change id.
     change_result apply(const policy_change& change);
     void apply(const owner_change& change);
+    change_result apply(const document_change& change);
 
     /// Returns the result of an earlier change with this id, or nullptr.
     const change_result* find_result(const std::string& change_id) const;
@@ -87,6 +109,7 @@
     config_version version() const { return version_; }
     const std::map<std::string, policy_record>& policies() const { return policies_; }
     const bucket_table& owners() const { return owners_; }
+    const route_document& document() const { return document_; }
 
     /// Returns the policies that changed after \p known, removed ones included.
     std::vector<policy_record> changed_since(config_version known) const;
@@ -96,9 +119,12 @@
     static absl::StatusOr<control_state> decode_snapshot(const std::string& bytes);
 
 private:
+    void remember(const std::string& change_id, const change_result& result);
+
     config_version version_;
     std::map<std::string, policy_record> policies_;
     bucket_table owners_;
+    route_document document_;
     std::map<std::string, change_result> results_;
     std::deque<std::string> result_order_;
 };
--- a/include/fescuedyke/control/member_store.h
+++ b/include/fescuedyke/control/member_store.h
@@ -53,6 +53,8 @@
 
     file_system& files_;
     std::size_t log_bytes_ = 0;
+    /// A write has failed; its rest may stand at the end of the log.
+    bool torn_ = false;
 };
 
 } // namespace fescuedyke
--- a/include/fescuedyke/control/messages.h
+++ b/include/fescuedyke/control/messages.h
@@ -44,6 +44,8 @@
     config_version version;
     /// Policies that changed since the node's version.
     std::vector<policy_record> policies;
+    /// The document of routes, if it changed since the node's version.
+    std::optional<route_document> document;
     std::uint64_t owners_version = 0;
     owner_delta owners;
     view_delta view;
--- a/include/fescuedyke/daemon/control_runtime.h
+++ b/include/fescuedyke/daemon/control_runtime.h
@@ -27,10 +27,12 @@
 class control_runtime {
 public:
     using answer_callback = std::function<void(const answer_change&)>;
+    using document_callback = std::function<void(const answer_document&)>;
 
     /// \p to_node hands events to the traffic thread.
     control_runtime(const process_settings& settings, event_loop& loop, random_source& random,
-                    std::uint64_t epoch, std::function<void(node_event)> to_node);
+                    std::uint64_t epoch, std::function<void(node_event)> to_node,
+                    std::function<void(const route_document&)> on_document = {});
     ~control_runtime();
 
     /// Opens the disk if the process is a member, and starts. Fails when the disk is damaged or an
@@ -43,6 +45,13 @@
     /// Proposes a change; \p done is called once with what became of it.
     void change(const policy_change& change, answer_callback done);
 
+    /// Proposes another document of routes; \p done is called once.
+    void change(const document_change& change, answer_callback done);
+    /// Asks for the document in force; \p done is called once, with the newest or with none.
+    void read_document(document_callback done);
+    /// Whether some member's word is fresh.
+    bool is_fresh() const { return subscriber_.is_fresh(loop_.now().now); }
+
     /// Tells the members the last account, hands over the lead, and then calls \p done.
     void stop(std::function<void()> done);
 
@@ -63,6 +72,7 @@
     void carry_out(const send_member_sync& action);
     void carry_out(const answer_member_sync& action);
     void carry_out(const answer_change& action);
+    void carry_out(const answer_document& action);
     void on_request(peer_stream_id stream, const std::string& path, const std::string& body);
     absl::Status start_member();
 
@@ -71,6 +81,7 @@
     random_source& random_;
     std::uint64_t epoch_;
     std::function<void(node_event)> to_node_;
+    std::function<void(const route_document&)> on_document_;
     config_subscriber subscriber_;
     peer_client peers_;
     std::unique_ptr<peer_server> server_;
@@ -79,6 +90,7 @@
     std::unique_ptr<account_book> accounts_;
     std::unique_ptr<control_core> core_;
     std::map<request_id, answer_callback> changes_;
+    std::map<request_id, document_callback> reads_;
     std::uint64_t next_change_ = 1;
     account_report last_account_;
     stored_member found_;
--- a/include/fescuedyke/daemon/daemon.h
+++ b/include/fescuedyke/daemon/daemon.h
@@ -2,6 +2,7 @@
 #define FESCUEDYKE_DAEMON_DAEMON_H
 
 #include "fescuedyke/daemon/control_runtime.h"
+#include "fescuedyke/daemon/edge_dialect.h"
 #include "fescuedyke/daemon/traffic_runtime.h"
 #include "fescuedyke/settings/process_settings.h"
 #include "fescuedyke/support/clock.h"
@@ -66,6 +67,7 @@
     event_loop traffic_loop_;
     event_loop control_loop_;
     http_server http_;
+    own_dialect dialect_;
     std::unique_ptr<traffic_runtime> traffic_;
     std::unique_ptr<control_runtime> control_;
 };
--- a/include/fescuedyke/daemon/traffic_runtime.h
+++ b/include/fescuedyke/daemon/traffic_runtime.h
@@ -2,6 +2,7 @@
 #define FESCUEDYKE_DAEMON_TRAFFIC_RUNTIME_H
 
 #include "fescuedyke/control/messages.h"
+#include "fescuedyke/daemon/edge_dialect.h"
 #include "fescuedyke/metrics/time_summary.h"
 #include "fescuedyke/node/node_core.h"
 #include "fescuedyke/transport/event_loop.h"
@@ -31,8 +32,10 @@
 /// All functions belong to the traffic thread.
 class traffic_runtime {
 public:
+    /// \p dialect and \p http must outlive the runtime.
     traffic_runtime(const node_settings& settings, event_loop& loop, http_server& http,
-                    random_source& random, traffic_listeners listeners);
+                    const edge_dialect& dialect, random_source& random,
+                    traffic_listeners listeners);
     ~traffic_runtime();
 
     /// Starts to serve other nodes. Fails with kUnavailable when the address is taken.
@@ -51,6 +54,8 @@
 
     nlohmann::json state() const;
 
+    const node_core& core() const { return core_; }
+
 private:
     void carry_out(const node_actions& actions);
     void carry_out(const answer_caller& action);
@@ -71,6 +76,7 @@
     node_settings settings_;
     event_loop& loop_;
     http_server& http_;
+    const edge_dialect& dialect_;
     traffic_listeners listeners_;
     node_core core_;
     peer_client peers_;
--- a/include/fescuedyke/membership/node_record.h
+++ b/include/fescuedyke/membership/node_record.h
@@ -17,14 +17,18 @@
 /// The target beside a node, as it announced itself.
 struct target_announcement {
     service_name service;
+    /// Tells this start of the target from every other; empty if it told none.
+    std::string identity;
     label_set labels;
     int slots = 0;
     target_state state = target_state::ready;
+    /// How much longer the target stays slow after its start.
+    millis warm_up{};
 
     friend bool operator==(const target_announcement& a, const target_announcement& b)
     {
-        return a.service == b.service && a.labels == b.labels && a.slots == b.slots &&
-               a.state == b.state;
+        return a.service == b.service && a.identity == b.identity && a.labels == b.labels &&
+               a.slots == b.slots && a.state == b.state && a.warm_up == b.warm_up;
     }
 };
 
--- a/include/fescuedyke/node/actions.h
+++ b/include/fescuedyke/node/actions.h
@@ -43,6 +43,9 @@
     inbound_id call;
     shared_request request;
     std::string token;
+    /// The start of the target that the call is for; empty for any.
+    std::string target;
+    millis time_left;
     /// Whether a connection that dies under the request may be replaced and the request sent again.
     bool may_repeat = false;
 };
--- a/include/fescuedyke/node/caller_headers.h
+++ b/include/fescuedyke/node/caller_headers.h
@@ -43,6 +43,9 @@
 /// Returns \p headers without those meant for the node and those of the connection.
 std::vector<header> forwarded_headers(const std::vector<header>& headers);
 
+/// Returns whether a target's \p answer says that the call did not run.
+bool says_not_run(const http_answer& answer);
+
 /// Returns the token that a target hands back in its calls below \p call.
 std::string call_token(inbound_id call);
 
--- a/include/fescuedyke/node/events.h
+++ b/include/fescuedyke/node/events.h
@@ -10,6 +10,7 @@
 
 #include <map>
 #include <memory>
+#include <optional>
 #include <string>
 #include <variant>
 
@@ -21,11 +22,22 @@
 /// A request that is kept while attempts are made with it.
 using shared_request = std::shared_ptr<const http_request>;
 
-/// A caller brought a request for \c service; its headers still hold those meant for the node.
+/// What a route says of a request, beside the service it goes to.
+struct route_terms {
+    policy governing;
+    /// Time that the caller waits, if it is shorter than the policy's deadline.
+    millis time_left;
+    /// Most targets that the request may be sent to.
+    int most_targets = 1;
+};
+
+/// A caller brought a request for \c service. Unless a route governs it, its headers still hold
+/// those meant for the node.
 struct caller_request {
     exchange_id exchange;
     service_name service;
     shared_request request;
+    std::optional<route_terms> route{};
 };
 
 /// A caller closed its connection before its answer.
@@ -70,6 +82,8 @@
 struct target_answered {
     inbound_id call;
     http_answer answer;
+    /// The target says that it did not run the call.
+    bool not_run = false;
 };
 
 /// Why the target gave no answer.
@@ -90,6 +104,8 @@
 /// The target announced itself, or announced itself again with other slots or labels.
 struct target_announced {
     service_name service;
+    /// Tells this start of the target from every other; empty if it told none.
+    std::string identity;
     label_set labels;
     /// Changes whenever the target's process is a new one.
     std::uint64_t target_incarnation = 0;
--- a/include/fescuedyke/node/inbound_calls.h
+++ b/include/fescuedyke/node/inbound_calls.h
@@ -98,6 +98,7 @@
     run_registry registry_;
     std::optional<admission_queue> admission_;
     service_name service_;
+    std::string identity_;
     std::uint64_t target_incarnation_ = 0;
     bool draining_ = false;
     instant announced_at_;
--- a/include/fescuedyke/node/node_settings.h
+++ b/include/fescuedyke/node/node_settings.h
@@ -27,6 +27,9 @@
     std::uint64_t region_bytes_per_second = 1ULL << 20U;
     /// Whether running idempotent work may be cancelled for more important work.
     bool preemption = true;
+    /// Retries that one success earns, and the most that are saved up, for each service.
+    double retry_share = 0.1;
+    double most_saved_retries = 10;
     /// Whether admission levels of other nodes are heeded before a call is sent.
     bool refuse_early = true;
     /// Time that a run under a key may go on after its caller's deadline.
--- a/include/fescuedyke/node/outbound_calls.h
+++ b/include/fescuedyke/node/outbound_calls.h
@@ -31,6 +31,10 @@
     call_context context;
     instant deadline;
     bool cross_region = false;
+    /// A route governs the call and bounds the targets it may reach.
+    bool routed = false;
+    int most_targets = 0;
+    int targets_reached = 0;
     retry_allowance allowance{0};
     /// What the serving call lent to this one; what is left goes back to it.
     int lent_by_parent = 0;
@@ -72,7 +76,8 @@
 private:
     std::optional<outcome> refusal_at_entry(const caller_request& event,
                                             const absl::StatusOr<caller_options>& options);
-    std::optional<outcome> set_up(outbound_call& call, instant now);
+    std::optional<outcome> set_up(outbound_call& call, const std::optional<route_terms>& route,
+                                  instant now);
     std::optional<outcome> inherit(outbound_call& call, instant now);
     void start_root(outbound_call& call, const policy& governing);
     policy governing_policy(const outbound_call& call, const target_info& any) const;
@@ -80,6 +85,7 @@
     std::optional<outcome> choose_owner(outbound_call& call) const;
     void try_once(outbound_call& call, moment at);
     bool may_retry(const outbound_call& call, const outcome& result, instant now);
+    bool may_retry_routed(const outbound_call& call, const outcome& result, instant now);
     void next_step(outbound_call& call, const outcome& result, bool fenced,
                    const http_answer& answer, moment at);
     void end(call_id id, const outcome& result, bool fenced, const http_answer& answer);
--- a/include/fescuedyke/routing/target_view.h
+++ b/include/fescuedyke/routing/target_view.h
@@ -46,6 +46,8 @@
     locality place;
     service_name service;
     owner_name owner;
+    /// Tells this start of the target from every other; empty if it told none.
+    std::string identity;
     label_set labels;
     int slots = 0;
     target_state state = target_state::ready;
--- a/include/fescuedyke/settings/process_settings.h
+++ b/include/fescuedyke/settings/process_settings.h
@@ -7,6 +7,7 @@
 #include <absl/status/statusor.h>
 
 #include <cstdint>
+#include <optional>
 #include <string>
 #include <vector>
 
@@ -43,6 +44,18 @@
     std::vector<member_address> members;
     /// Whether this process is one of the members.
     bool is_member = false;
+    /// Where this process is reached as a member, when it is not listed among them.
+    std::optional<member_address> own_member;
+    /// Whether this is the first start of the whole system, in which the listed members found the
+    /// control group.
+    bool first_start = true;
+    /// Members that shall vote; 0 when they are just the listed ones.
+    std::size_t voters = 0;
+    /// Whether keys of unrepeatable work are given to owners.
+    bool assigns_keys = true;
+    /// Members that a node asks at a time, and whether the leader is always among them.
+    std::size_t members_asked = 2;
+    bool asks_leader = true;
     /// Folder for a member's files.
     std::string data;
     std::vector<operator_entry> operators;
--- a/include/fescuedyke/subscription/config_subscriber.h
+++ b/include/fescuedyke/subscription/config_subscriber.h
@@ -25,6 +25,8 @@
     millis avoid{2000};
     /// Members asked at the same time.
     std::size_t members_at_once = 2;
+    /// Whether the leading member is asked before nearer ones.
+    bool follows_leader = true;
 };
 
 /// Where a member may be found before it has told its name.
@@ -45,6 +47,8 @@
     std::vector<outgoing_poll> polls;
     /// For the node's core, in this order.
     std::vector<node_event> events;
+    /// The document of routes, when a later one is to be put in force.
+    std::optional<route_document> document;
 };
 
 /// What is known of one member, for the state dump.
@@ -91,6 +95,7 @@
 
     void note_members(const poll_reply& reply);
     void take_policies(const poll_reply& reply, subscriber_output& output);
+    void take_document(const poll_reply& reply, subscriber_output& output);
     void take_owners(const poll_reply& reply, subscriber_output& output);
     void take_view(const poll_reply& reply, subscriber_output& output);
     bool is_good(const member_standing& m, instant now) const;
@@ -110,6 +115,8 @@
     std::map<std::string, policy> policies_;
     config_version version_;
     bool told_policies_ = false;
+    route_document document_;
+    config_version told_document_;
     bucket_table owners_;
     view_builder view_;
     instant fresh_at_;
--- a/lib/consensus/raft_core.cpp
+++ b/lib/consensus/raft_core.cpp
@@ -50,7 +50,8 @@
     if (now < election_due_) {
         return;
     }
-    if (log_.empty() || !is_voter()) {
+    // A member that was taken out while it was away learns of it only from the answer.
+    if (log_.empty() || !is_voter() || settings_.voters_wanted > 0) {
         ask_to_join(now);
     }
     if (is_voter()) {
@@ -132,7 +133,8 @@
 
 bool raft_core::may_grant(const member_id& from, const vote_request& m, instant now) const
 {
-    const bool first_meeting = m.voter_disk == 0 && log_.empty() && m.last_index == log_index(0);
+    const bool first_meeting =
+        settings_.may_found && m.voter_disk == 0 && log_.empty() && m.last_index == log_index(0);
     if (!first_meeting && m.voter_disk != self_.disk) {
         return false;
     }
--- a/lib/consensus/raft_members.cpp
+++ b/lib/consensus/raft_members.cpp
@@ -68,6 +68,13 @@
 
 void raft_core::on(const member_id& from, const join_request& m, instant now)
 {
+    if (role_ != raft_role::leader && leader_ && *leader_ != from) {
+        // The one that asks may know only members that do not lead.
+        const member_entry* leader = find_member(*leader_);
+        if (leader != nullptr) {
+            output_.messages.push_back({leader->id, leader->address, {from, m}});
+        }
+    }
     if (find_member(from) == nullptr) {
         joiners_[from] = {m, now};
     }
@@ -97,29 +104,81 @@
     return absl::OkStatus();
 }
 
-void raft_core::tend_members(instant now)
+bool raft_core::is_silent(const member_entry& m, instant now) const
 {
-    if (log_.members_index() > commit_ || log_.term_at(commit_) != hard_.term) {
-        return;
-    }
+    const auto found = progress_.find(m.id);
+    return m.id != self_ && found != progress_.end() &&
+           now - found->second.last_heard >= settings_.replace_after;
+}
+
+bool raft_core::promote_learner(instant now)
+{
+    const bool wanted = settings_.voters_wanted == 0 || voters() < settings_.voters_wanted;
     member_list next = log_.members();
     for (member_entry& m : next) {
         const progress& p = progress_[m.id];
         const bool caught_up =
             p.match.value() + learner_lag >= log_.last_index().value() && p.match >= log_index(1);
-        if (!m.voter && caught_up && now - p.last_heard < settings_.election_timeout) {
+        if (wanted && !m.voter && caught_up && now - p.last_heard < settings_.election_timeout) {
             m.voter = true;
             joiners_.erase(m.id);
             (void)propose_members(next, now);
-            return;
+            return true;
         }
     }
+    return false;
+}
+
+bool raft_core::retire_silent(instant now)
+{
+    if (settings_.voters_wanted == 0) {
+        return false;
+    }
+    member_list next = log_.members();
+    const bool spare = std::any_of(next.begin(), next.end(), [&](const member_entry& m) {
+        return !m.voter && !is_silent(m, now);
+    });
+    // A silent voter goes only when another member is there to take its place.
+    const auto gone = std::find_if(next.begin(), next.end(), [&](const member_entry& m) {
+        return is_silent(m, now) && (m.voter ? spare : true);
+    });
+    if (gone == next.end()) {
+        return false;
+    }
+    next.erase(gone);
+    return propose_members(std::move(next), now).ok();
+}
+
+bool raft_core::admit_new(const member_id& id, const joiner& j, instant now)
+{
+    constexpr std::size_t most_spare = 2;
+    const bool room = log_.members().size() < settings_.voters_wanted + most_spare;
+    if (settings_.voters_wanted == 0 || !room || find_named(id.name) != nullptr) {
+        return false;
+    }
+    member_list next = log_.members();
+    next.push_back({id, j.request.address, j.request.api_address, false});
+    return propose_members(std::move(next), now).ok();
+}
+
+void raft_core::tend_members(instant now)
+{
+    if (log_.members_index() > commit_ || log_.term_at(commit_) != hard_.term) {
+        return;
+    }
+    if (promote_learner(now)) {
+        return;
+    }
     for (const auto& [id, j] : joiners_) {
         const bool asks_still = now - j.heard < settings_.replace_after;
-        if (asks_still && find_member(id) == nullptr && replace_returned(next, id, j, now)) {
+        if (!asks_still || find_member(id) != nullptr) {
+            continue;
+        }
+        if (replace_returned(log_.members(), id, j, now) || admit_new(id, j, now)) {
             return;
         }
     }
+    retire_silent(now);
 }
 
 bool raft_core::replace_returned(member_list next, const member_id& id, const joiner& j,
--- a/lib/control/account_book.cpp
+++ b/lib/control/account_book.cpp
@@ -98,11 +98,19 @@
     if (unwritten_.empty()) {
         return absl::OkStatus();
     }
+    if (torn_) {
+        // What a failed write left must not stand before the next frame.
+        if (absl::Status cut = files_.truncate_synced(accounts_file, file_bytes_); !cut.ok()) {
+            return cut;
+        }
+        torn_ = false;
+    }
     const std::string frame = make_frame(encode(unwritten_));
-    unwritten_.clear();
     if (absl::Status written = files_.append_synced(accounts_file, frame); !written.ok()) {
+        torn_ = true;
         return written;
     }
+    unwritten_.clear();
     file_bytes_ += frame.size();
     const std::size_t bound =
         std::max(settings_.least_rewrite_bytes, live_bytes_ * settings_.rewrite_factor);
--- a/lib/control/control_core.cpp
+++ b/lib/control/control_core.cpp
@@ -28,16 +28,15 @@
 
 void control_core::run_raft(instant now)
 {
+    if (unwritten_ && now >= write_again_) {
+        disk_ = absl::OkStatus();
+    }
     while (disk_.ok()) {
-        raft_output output = raft_.take_output();
+        raft_output output = unwritten_ ? std::move(*unwritten_) : raft_.take_output();
+        unwritten_.reset();
         const bool persists = output.must_persist();
-        if (persists) {
-            disk_ = store_.persist(output);
-            if (!disk_.ok()) {
-                fail_pending(change_outcome::unknown);
-                return;
-            }
-            raft_.on_persisted();
+        if (persists && !persist(output, now)) {
+            return;
         }
         if (output.install) {
             restore(*output.install);
@@ -55,6 +54,20 @@
     }
 }
 
+bool control_core::persist(const raft_output& output, instant now)
+{
+    disk_ = store_.persist(output);
+    if (disk_.ok()) {
+        raft_.on_persisted();
+        return true;
+    }
+    fail_pending(change_outcome::unknown);
+    // Nothing that depends on the write has left this member, so that it may be done later.
+    unwritten_ = output;
+    write_again_ = now + settings_.disk_retry;
+    return false;
+}
+
 void control_core::restore(const snapshot& base)
 {
     absl::StatusOr<control_state> state = control_state::decode_snapshot(base.data);
@@ -86,28 +99,36 @@
         state_.apply(*owners);
     }
     if (const auto* change = std::get_if<policy_change>(&*command)) {
-        const change_result result = state_.apply(*change);
-        const auto waiting = pending_.find(change->change_id);
-        if (waiting != pending_.end()) {
-            for (const pending_change& p : waiting->second) {
-                actions_.emplace_back(
-                    answer_change{p.request, change_outcome::decided, result, {}});
-            }
-            pending_.erase(waiting);
-        }
+        apply_change(*change);
+    }
+    if (const auto* change = std::get_if<document_change>(&*command)) {
+        apply_change(*change);
     }
     if (applied_.value() - raft_.log().base().index.value() >= settings_.snapshot_every) {
         take_snapshot();
     }
 }
 
+template <class Change> void control_core::apply_change(const Change& change)
+{
+    const change_result result = state_.apply(change);
+    const auto waiting = pending_.find(change.change_id);
+    if (waiting == pending_.end()) {
+        return;
+    }
+    for (const pending_change& p : waiting->second) {
+        actions_.emplace_back(answer_change{p.request, change_outcome::decided, result, {}});
+    }
+    pending_.erase(waiting);
+}
+
 void control_core::take_snapshot()
 {
     const snapshot s = raft_.make_snapshot(applied_, state_.encode_snapshot());
     const std::uint64_t held = raft_.log().last_index().value() - applied_.value();
     const std::vector<log_entry> rest = raft_.log().slice(log_index(applied_.value() + 1), held);
-    disk_ = store_.persist_snapshot(s, raft_.hard(), rest);
-    if (disk_.ok()) {
+    // A snapshot that cannot be written is tried again with the next entry.
+    if (store_.persist_snapshot(s, raft_.hard(), rest).ok()) {
         raft_.on_snapshot_persisted(s);
     }
 }
@@ -191,6 +212,9 @@
     reply.beacon_age = beacon_age(now);
     reply.version = state_.version();
     reply.policies = state_.changed_since(poll.policies);
+    if (state_.document().changed_in > poll.policies) {
+        reply.document = state_.document();
+    }
     reply.owners_version = state_.owners().version;
     reply.owners = owners_since(poll.owners_version);
     reply.view = leases_.view_since(poll.view_epoch, poll.view_version);
@@ -261,33 +285,76 @@
     accounts_.on_report(event.report);
 }
 
-void control_core::on(const change_requested& event, moment at)
+template <class Change>
+void control_core::propose_change(request_id request, const Change& change, instant now)
 {
     if (!raft_.is_leader() || !disk_.ok() || stopping_) {
-        actions_.emplace_back(
-            answer_change{event.request, change_outcome::not_leader, {}, leader_api()});
+        actions_.emplace_back(answer_change{request, change_outcome::not_leader, {}, leader_api()});
         return;
     }
     // Resends of a change that is decided or on its way get the one result. What was decided under
     // former leaders is known for certain once this leader's first entry is applied.
-    const change_result* known = state_.find_result(event.change.change_id);
+    const change_result* known = state_.find_result(change.change_id);
     if (known != nullptr) {
-        actions_.emplace_back(answer_change{event.request, change_outcome::decided, *known, {}});
+        actions_.emplace_back(answer_change{request, change_outcome::decided, *known, {}});
         return;
     }
-    const bool on_its_way = pending_.count(event.change.change_id) != 0;
-    pending_[event.change.change_id].push_back({event.request, at.now});
+    const bool on_its_way = pending_.count(change.change_id) != 0;
+    pending_[change.change_id].push_back({request, now});
     if (on_its_way) {
         return;
     }
-    const absl::StatusOr<log_index> proposed = raft_.propose(encode_command(event.change), at.now);
+    const absl::StatusOr<log_index> proposed = raft_.propose(encode_command(change), now);
     assert(proposed.ok() && "a leader takes proposals");
     (void)proposed;
 }
 
+void control_core::on(const change_requested& event, moment at)
+{
+    propose_change(event.request, event.change, at.now);
+}
+
+void control_core::on(const document_requested& event, moment at)
+{
+    propose_change(event.request, event.change, at.now);
+}
+
+void control_core::on(const document_read& event, moment at)
+{
+    if (!raft_.is_leader() || !disk_.ok() || stopping_) {
+        actions_.emplace_back(
+            answer_document{event.request, change_outcome::not_leader, {}, leader_api()});
+        return;
+    }
+    reads_.push_back({event.request, at.now});
+}
+
+void control_core::answer_reads(instant now)
+{
+    std::vector<pending_change> waiting;
+    for (const pending_change& r : reads_) {
+        const bool leads = raft_.is_leader() && disk_.ok();
+        // A round that was sent after the read came in and that a quorum has answered.
+        const bool sure = leads && raft_.confirmed_at() > r.since && applied_ >= own_first_entry_;
+        if (sure) {
+            actions_.emplace_back(
+                answer_document{r.request, change_outcome::decided, state_.document(), {}});
+        }
+        else if (!leads || now - r.since >= settings_.change_timeout) {
+            actions_.emplace_back(
+                answer_document{r.request, change_outcome::unknown, {}, leader_api()});
+        }
+        else {
+            waiting.push_back(r);
+        }
+    }
+    reads_ = std::move(waiting);
+}
+
 void control_core::plan_owners(instant now)
 {
-    if (now - last_plan_ < settings_.plan_period || !grants_leases(now)) {
+    const bool due = settings_.assigns_keys && now - last_plan_ >= settings_.plan_period;
+    if (!due || !grants_leases(now)) {
         return;
     }
     last_plan_ = now;
@@ -340,8 +407,10 @@
     tell_members(at.now);
     if (at.now - last_flush_ >= settings_.account_flush_period && disk_.ok()) {
         last_flush_ = at.now;
-        disk_ = accounts_.flush();
+        // Reports that cannot be written are kept and tried again.
+        accounts_ok_ = accounts_.flush().ok();
     }
+    answer_reads(at.now);
     if (!disk_.ok()) {
         return;
     }
@@ -356,7 +425,7 @@
     (void)event;
     stopping_ = true;
     if (disk_.ok()) {
-        disk_ = accounts_.flush();
+        accounts_ok_ = accounts_.flush().ok();
         raft_.hand_over(at.now);
     }
 }
--- a/lib/control/control_state.cpp
+++ b/lib/control/control_state.cpp
@@ -16,13 +16,14 @@
     config_version version;
     std::map<std::string, policy_record> policies;
     bucket_table owners;
+    route_document document;
     std::map<std::string, change_result> results;
     std::vector<std::string> result_order;
 };
 
 template <class A> void fields(A& a, state_snapshot& x)
 {
-    a(x.version, x.policies, x.owners, x.results, x.result_order);
+    a(x.version, x.policies, x.owners, x.document, x.results, x.result_order);
 }
 
 } // namespace
@@ -63,13 +64,36 @@
         ++record.version;
         result = {change_code::accepted, change.remove ? 0 : record.version, version_};
     }
-    results_[change.change_id] = result;
-    result_order_.push_back(change.change_id);
+    remember(change.change_id, result);
+    return result;
+}
+
+change_result control_state::apply(const document_change& change)
+{
+    if (const change_result* known = find_result(change.change_id)) {
+        return *known;
+    }
+    change_result result;
+    if (change.based_on != document_.version || change.version <= document_.version) {
+        result = {change_code::conflict, document_.version, version_};
+    }
+    else {
+        version_ = config_version(version_.value() + 1);
+        document_ = {change.version, version_, change.text};
+        result = {change_code::accepted, change.version, version_};
+    }
+    remember(change.change_id, result);
+    return result;
+}
+
+void control_state::remember(const std::string& change_id, const change_result& result)
+{
+    results_[change_id] = result;
+    result_order_.push_back(change_id);
     if (result_order_.size() > most_results) {
         results_.erase(result_order_.front());
         result_order_.pop_front();
     }
-    return result;
 }
 
 void control_state::apply(const owner_change& change)
@@ -103,7 +127,7 @@
 
 std::string control_state::encode_snapshot() const
 {
-    state_snapshot s{version_, policies_, owners_, results_, {}};
+    state_snapshot s{version_, policies_, owners_, document_, results_, {}};
     s.result_order.assign(result_order_.begin(), result_order_.end());
     return encode(s);
 }
@@ -118,6 +142,7 @@
     state.version_ = s->version;
     state.policies_ = std::move(s->policies);
     state.owners_ = std::move(s->owners);
+    state.document_ = std::move(s->document);
     state.results_ = std::move(s->results);
     state.result_order_.assign(s->result_order.begin(), s->result_order.end());
     return state;
--- a/lib/control/member_store.cpp
+++ b/lib/control/member_store.cpp
@@ -190,9 +190,19 @@
     record.hard = output.hard;
     record.truncate_from = output.truncate_from;
     record.append = output.append;
+    if (torn_) {
+        // What a failed write left must not stand before the next frame.
+        absl::Status cut = files_.truncate_synced(log_file, log_bytes_);
+        if (!cut.ok() && !absl::IsNotFound(cut)) {
+            return cut;
+        }
+        torn_ = false;
+    }
     const std::string frame = make_frame(encode(record));
-    log_bytes_ += frame.size();
-    return files_.append_synced(log_file, frame);
+    absl::Status written = files_.append_synced(log_file, frame);
+    torn_ = !written.ok();
+    log_bytes_ += torn_ ? 0 : frame.size();
+    return written;
 }
 
 absl::Status member_store::replace_log(const snapshot& base, const hard_state& hard,
@@ -204,8 +214,12 @@
     record.hard = hard;
     record.append = entries;
     const std::string frame = make_frame(encode(record));
-    log_bytes_ = frame.size();
-    return files_.replace_synced(log_file, frame);
+    absl::Status written = files_.replace_synced(log_file, frame);
+    if (written.ok()) {
+        log_bytes_ = frame.size();
+        torn_ = false;
+    }
+    return written;
 }
 
 absl::Status member_store::persist_snapshot(const snapshot& s, const hard_state& hard,
--- a/lib/daemon/control_runtime.cpp
+++ b/lib/daemon/control_runtime.cpp
@@ -31,6 +31,14 @@
     return seeds;
 }
 
+subscriber_settings subscriber_settings_of(const process_settings& settings)
+{
+    subscriber_settings result;
+    result.members_at_once = settings.members_asked;
+    result.follows_leader = settings.asks_leader;
+    return result;
+}
+
 member_entry entry_of(const member_address& m)
 {
     member_entry entry;
@@ -44,10 +52,11 @@
 
 control_runtime::control_runtime(const process_settings& settings, event_loop& loop,
                                  random_source& random, std::uint64_t epoch,
-                                 std::function<void(node_event)> to_node)
+                                 std::function<void(node_event)> to_node,
+                                 std::function<void(const route_document&)> on_document)
     : settings_(settings), loop_(loop), random_(random), epoch_(epoch),
-      to_node_(std::move(to_node)), subscriber_(subscriber_settings{}, seeds_of(settings)),
-      peers_(loop)
+      to_node_(std::move(to_node)), on_document_(std::move(on_document)),
+      subscriber_(subscriber_settings_of(settings), seeds_of(settings)), peers_(loop)
 {
 }
 
@@ -61,6 +70,10 @@
         }
         loop_.after(member_tick_period, [this] { on_member_tick(); });
     }
+    if (settings_.own_member && settings_.is_member) {
+        // An instance with a disk that serves no target needs no subscription.
+        return absl::OkStatus();
+    }
     loop_.after(subscriber_tick_period, [this] { on_subscriber_tick(); });
     return absl::OkStatus();
 }
@@ -79,15 +92,22 @@
         return found.status();
     }
     found_ = std::move(*found);
-    const control_settings tuning;
+    control_settings tuning;
+    tuning.assigns_keys = settings_.assigns_keys;
+    tuning.raft.may_found = settings_.first_start;
+    tuning.raft.voters_wanted = settings_.voters;
     accounts_ = std::make_unique<account_book>(tuning.accounts, *files_);
     if (absl::Status opened = accounts_->open(); !opened.ok()) {
         return opened;
     }
     member_list initial;
     member_entry self;
+    if (settings_.own_member) {
+        self = entry_of(*settings_.own_member);
+    }
     for (const member_address& m : settings_.members) {
         initial.push_back(entry_of(m));
+        initial.back().voter = settings_.first_start;
         if (m.name == settings_.instance.value()) {
             self = entry_of(m);
         }
@@ -166,6 +186,9 @@
                         carry_out(subscriber_.on_reply(number, *reply, now));
                     });
     }
+    if (output.document && on_document_) {
+        on_document_(*output.document);
+    }
     for (const node_event& event : output.events) {
         to_node_(event);
     }
@@ -175,9 +198,10 @@
 {
     loop_.after(member_tick_period, [this] { on_member_tick(); });
     handle(control_tick{});
-    if (!core_->disk().ok() && !disk_reported_) {
-        disk_reported_ = true;
-        write_log(log_level::error, "member-disk-failed",
+    if (core_->disk().ok() == disk_reported_) {
+        disk_reported_ = !core_->disk().ok();
+        write_log(disk_reported_ ? log_level::error : log_level::info,
+                  disk_reported_ ? "member-disk-failed" : "member-disk-regained",
                   {{"message", std::string(core_->disk().message())}});
     }
 }
@@ -233,6 +257,31 @@
     done(action);
 }
 
+void control_runtime::carry_out(const answer_document& action)
+{
+    const auto found = reads_.find(action.request);
+    if (found == reads_.end()) {
+        return;
+    }
+    const document_callback done = std::move(found->second);
+    reads_.erase(found);
+    done(action);
+}
+
+void control_runtime::change(const document_change& change, answer_callback done)
+{
+    const request_id request(next_change_++);
+    changes_[request] = std::move(done);
+    handle(document_requested{request, change});
+}
+
+void control_runtime::read_document(document_callback done)
+{
+    const request_id request(next_change_++);
+    reads_[request] = std::move(done);
+    handle(document_read{request});
+}
+
 void control_runtime::on_request(peer_stream_id stream, const std::string& path,
                                  const std::string& body)
 {
--- a/lib/daemon/daemon.cpp
+++ b/lib/daemon/daemon.cpp
@@ -91,7 +91,7 @@
         control_loop_.post([this, report] { control_->on_account(report); });
     };
     traffic_ = std::make_unique<traffic_runtime>(node_settings_of(settings_, incarnation(start)),
-                                                 traffic_loop_, http_, traffic_random_,
+                                                 traffic_loop_, http_, dialect_, traffic_random_,
                                                  std::move(listeners));
 }
 
--- a/lib/daemon/outcome_http.cpp
+++ b/lib/daemon/outcome_http.cpp
@@ -1,5 +1,8 @@
 #include "fescuedyke/daemon/outcome_http.h"
 
+#include "fescuedyke/daemon/edge_dialect.h"
+#include "fescuedyke/node/caller_headers.h"
+
 #include <nlohmann/json.hpp>
 
 #include <string>
@@ -64,4 +67,23 @@
     return told;
 }
 
+http_answer own_dialect::to_caller(const outcome& result, const http_answer& answer) const
+{
+    return to_http(result, answer);
+}
+
+target_request own_dialect::to_target(const dispatch_call& call) const
+{
+    target_request request;
+    request.request = call.request;
+    request.extra_headers = {{call_header, call.token}};
+    request.may_repeat = call.may_repeat;
+    return request;
+}
+
+bool own_dialect::says_not_run(const http_answer& answer) const
+{
+    return fescuedyke::says_not_run(answer);
+}
+
 } // namespace fescuedyke
--- a/lib/daemon/traffic_runtime.cpp
+++ b/lib/daemon/traffic_runtime.cpp
@@ -16,6 +16,9 @@
 namespace {
 
 constexpr millis tick_period{10};
+
+/// The same while no call is open.
+constexpr millis idle_tick_period{50};
 constexpr millis account_period{1000};
 
 /// A node with nothing new still reports this often, so that it does not show as a gap.
@@ -34,9 +37,10 @@
 } // namespace
 
 traffic_runtime::traffic_runtime(const node_settings& settings, event_loop& loop, http_server& http,
-                                 random_source& random, traffic_listeners listeners)
-    : settings_(settings), loop_(loop), http_(http), listeners_(std::move(listeners)),
-      core_(settings, random), peers_(loop),
+                                 const edge_dialect& dialect, random_source& random,
+                                 traffic_listeners listeners)
+    : settings_(settings), loop_(loop), http_(http), dialect_(dialect),
+      listeners_(std::move(listeners)), core_(settings, random), peers_(loop),
       server_(loop, {[this](peer_stream_id stream, const std::string& path,
                             const std::string& body) { on_peer_request(stream, path, body); },
                      [this](peer_stream_id stream) {
@@ -98,7 +102,7 @@
 
 void traffic_runtime::on_tick()
 {
-    loop_.after(tick_period, [this] { on_tick(); });
+    loop_.after(core_.idle() ? idle_tick_period : tick_period, [this] { on_tick(); });
     handle(tick{});
     const moment at = loop_.now();
     if (core_.inbound().ready(at.now) != target_was_ready_) {
@@ -125,8 +129,12 @@
     record_.target.reset();
     if (inbound.has_target()) {
         const target_state state = target_was_ready_ ? target_state::ready : target_state::draining;
-        record_.target = target_announcement{target_info_.service, target_info_.labels,
-                                             target_info_.slots, state};
+        record_.target = target_announcement{target_info_.service,
+                                             target_info_.identity,
+                                             target_info_.labels,
+                                             target_info_.slots,
+                                             state,
+                                             target_info_.warm_up};
     }
     listeners_.on_record(record_, target_was_ready_);
 }
@@ -233,7 +241,7 @@
         call_times_.add(loop_.now().now - since->second);
         callers_since_.erase(since);
     }
-    http_.answer(action.exchange, to_http(action.result, action.answer));
+    http_.answer(action.exchange, dialect_.to_caller(action.result, action.answer));
 }
 
 void traffic_runtime::carry_out(const send_call& action)
@@ -271,16 +279,14 @@
 
 void traffic_runtime::carry_out(const dispatch_call& action)
 {
-    target_request request;
+    target_request request = dialect_.to_target(action);
     request.address = target_address_;
-    request.request = action.request;
-    request.extra_headers = {{call_header, action.token}};
-    request.may_repeat = action.may_repeat;
     const inbound_id call = action.call;
     dispatched_since_[call] = loop_.now().now;
     target_.send(call.value(), request, [this, call](target_result result) {
         if (auto* answer = std::get_if<http_answer>(&result)) {
-            handle(target_answered{call, std::move(*answer)});
+            const bool not_run = dialect_.says_not_run(*answer);
+            handle(target_answered{call, std::move(*answer), not_run});
             return;
         }
         handle(target_failed{call, std::get<target_failure>(result)});
--- a/lib/membership/view_builder.cpp
+++ b/lib/membership/view_builder.cpp
@@ -13,6 +13,7 @@
     info.place = record.place;
     info.service = record.target->service;
     info.owner = record.owner;
+    info.identity = record.target->identity;
     info.labels = record.target->labels;
     info.slots = record.target->slots;
     info.state = record.target->state;
--- a/lib/node/caller_headers.cpp
+++ b/lib/node/caller_headers.cpp
@@ -141,6 +141,13 @@
     return result;
 }
 
+bool says_not_run(const http_answer& answer)
+{
+    constexpr int unavailable_status = 503;
+    const std::string* told = find_header(answer.headers, not_run_header);
+    return answer.status == unavailable_status && told != nullptr && *told == "true";
+}
+
 std::string call_token(inbound_id call)
 {
     std::array<char, 16> text{};
--- a/lib/node/inbound_calls.cpp
+++ b/lib/node/inbound_calls.cpp
@@ -42,13 +42,14 @@
 std::optional<outcome> inbound_calls::refusal_before_admission(const call_context& context,
                                                                instant now) const
 {
-    if (!admission_ || context.service != service_ || now >= lease_until_) {
+    const bool other_start = !context.target.empty() && context.target != identity_;
+    if (!admission_ || context.service != service_ || now >= lease_until_ || other_start) {
         return refused(outcome_reason::target_unreachable);
     }
     if (draining_) {
         return refused(outcome_reason::draining);
     }
-    if (!context.idempotent && context.key.empty()) {
+    if (!context.idempotent && !context.keyless && context.key.empty()) {
         return refused(outcome_reason::key_missing);
     }
     if (context.time_left <= millis(0)) {
@@ -77,7 +78,7 @@
 void inbound_calls::on_call(const call_context& context, const shared_request& request,
                             const reply_address& reply_to, moment at)
 {
-    if (!context.idempotent && is_late_or_repeated(context, at)) {
+    if (!context.idempotent && !context.keyless && is_late_or_repeated(context, at)) {
         return;
     }
     const inbound_id id(next_id_++);
@@ -101,7 +102,7 @@
         end(id, *refusal, {}, at.now);
         return;
     }
-    if (!context.idempotent) {
+    if (!context.idempotent && !context.keyless) {
         begin_keyed(call, at);
         return;
     }
@@ -172,8 +173,9 @@
 {
     call.at = inbound_call::stage::running;
     call.dispatched = now;
-    actions_.emplace_back(
-        dispatch_call{call.id, call.request, call_token(call.id), call.context.idempotent});
+    actions_.emplace_back(dispatch_call{call.id, call.request, call_token(call.id),
+                                        call.context.target, call.deadline - now,
+                                        call.context.idempotent});
 }
 
 load_report inbound_calls::load(flow_id flow, instant now) const
@@ -330,8 +332,7 @@
     if (found == calls_.end() || found->second.at != inbound_call::stage::running) {
         return;
     }
-    const std::string* not_run = find_header(event.answer.headers, not_run_header);
-    const bool shed = event.answer.status == 503 && not_run != nullptr && *not_run == "true";
+    const bool shed = event.not_run;
     const millis took = at.now - found->second.dispatched;
     const admission_result next = shed ? admission_->finish_shed(event.call, at.now)
                                        : admission_->finish(event.call, true, took, at.now);
@@ -385,6 +386,7 @@
         target_incarnation_ = event.target_incarnation;
         announced_at_ = at.now;
     }
+    identity_ = event.identity;
     warm_up_ = event.warm_up;
     lease_until_ = at.now + event.lease;
     admission_->set_slots(event.slots);
--- a/lib/node/outbound_calls.cpp
+++ b/lib/node/outbound_calls.cpp
@@ -10,9 +10,8 @@
 
 namespace {
 
-/// Retries that one success earns towards its service, and the most that are saved up.
-constexpr double retry_share = 0.1;
-constexpr double most_saved_retries = 10;
+/// Targets' nodes that may refuse one routed call before it is given up.
+constexpr std::size_t most_refusals = 5;
 
 /// Hops taken to be below a service that has told nothing yet.
 constexpr int unknown_hops = 1;
@@ -57,7 +56,9 @@
 
 pair_budget& outbound_calls::budget_of(const service_name& service)
 {
-    return budgets_.emplace(service, pair_budget(retry_share, most_saved_retries)).first->second;
+    return budgets_
+        .emplace(service, pair_budget(settings_.retry_share, settings_.most_saved_retries))
+        .first->second;
 }
 
 std::optional<outcome>
@@ -67,10 +68,10 @@
     if (!options.ok()) {
         return refused(outcome_reason::bad_request);
     }
-    if (!policies_) {
+    if (!policies_ && !event.route) {
         return refused(outcome_reason::not_ready);
     }
-    if (stopping_ && !options->parent) {
+    if (stopping_ && !options->parent && !event.route) {
         return refused(outcome_reason::draining);
     }
     if (bytes_held_ + event.request->body_bytes() > settings_.memory_bytes) {
@@ -91,7 +92,8 @@
 void outbound_calls::on_request(const caller_request& event, moment at)
 {
     const instant now = at.now;
-    const absl::StatusOr<caller_options> options = read_caller_options(event.request->headers);
+    const absl::StatusOr<caller_options> options =
+        event.route ? caller_options{} : read_caller_options(event.request->headers);
     if (const std::optional<outcome> refusal = refusal_at_entry(event, options)) {
         refuse(event, *refusal, event.service, priority_class::normal);
         return;
@@ -104,13 +106,15 @@
     call.context.call = call.id;
     call.context.origin = settings_.self;
     call.context.service = event.service;
-    if (const std::optional<outcome> refusal = set_up(call, now)) {
+    if (const std::optional<outcome> refusal = set_up(call, event.route, now)) {
         refuse(event, *refusal, event.service, call.context.order.cls());
         return;
     }
-    auto stripped = std::make_shared<http_request>(*event.request);
-    stripped->headers = forwarded_headers(event.request->headers);
-    call.request = std::move(stripped);
+    if (!event.route) {
+        auto stripped = std::make_shared<http_request>(*event.request);
+        stripped->headers = forwarded_headers(event.request->headers);
+        call.request = std::move(stripped);
+    }
     call.row = {account_side::sent, settings_.owner, event.service, call.context.order.cls()};
     accounts_.on_received(call.row);
     bytes_held_ += call.request->body_bytes();
@@ -129,23 +133,31 @@
     return matched != nullptr ? *matched : default_policy(call.request->method);
 }
 
-std::optional<outcome> outbound_calls::set_up(outbound_call& call, instant now)
+std::optional<outcome> outbound_calls::set_up(outbound_call& call,
+                                              const std::optional<route_terms>& route, instant now)
 {
     const target_info* any = chooser_.any_of(call.context.service);
     if (any == nullptr) {
         return refused(outcome_reason::no_target);
     }
-    const policy governing = governing_policy(call, *any);
+    const policy governing = route ? route->governing : governing_policy(call, *any);
+    if (route) {
+        call.routed = true;
+        call.most_targets = route->most_targets;
+        call.options.timeout = route->time_left;
+        call.context.keyless = !governing.idempotent;
+    }
     call.context.idempotent = governing.idempotent;
     call.context.order = rank(governing.cls, 0);
     call.cross_region = governing.cross_region;
     if (call.request->body_bytes() > governing.max_body) {
         return refused(outcome_reason::too_large);
     }
-    if (!governing.idempotent && call.options.key.empty()) {
+    if (!governing.idempotent && !call.context.keyless && call.options.key.empty()) {
         return refused(outcome_reason::key_missing);
     }
-    if (!governing.idempotent && !parse_idempotency_key(call.options.key).ok()) {
+    if (!governing.idempotent && !call.context.keyless &&
+        !parse_idempotency_key(call.options.key).ok()) {
         return refused(outcome_reason::key_invalid);
     }
     call.context.key = governing.idempotent ? "" : call.options.key;
@@ -209,7 +221,7 @@
 
 std::optional<outcome> outbound_calls::choose_target(outbound_call& call, instant now)
 {
-    if (!call.context.idempotent) {
+    if (!call.context.idempotent && !call.context.keyless) {
         return choose_owner(call);
     }
     route_request request;
@@ -243,6 +255,7 @@
     call.context.time_left = call.deadline - now;
     call.context.sent = at.wall;
     call.context.allowance = call.lent;
+    call.context.target = call.target.identity;
     chooser_.on_sent(call.context.service, call.target.instance);
     if (call.target.place.region != settings_.place.region) {
         regions_.spend(call.target.place.region, call.request->body_bytes(), now);
@@ -310,8 +323,28 @@
     next_step(*call, outcome::unknown(outcome_reason::connection_lost), false, {}, at);
 }
 
+bool outbound_calls::may_retry_routed(const outbound_call& call, const outcome& result, instant now)
+{
+    const bool has_time = call.deadline - now > chooser_.expected_time(call.context.service);
+    if (!has_time || call.tried.size() >= most_refusals) {
+        return false;
+    }
+    const bool reached =
+        result.kind == outcome_kind::unknown || result.reason == outcome_reason::target_shed;
+    if (!reached) {
+        // Refused by a target's node: no target has seen the call.
+        return is_local_refusal(result.reason);
+    }
+    const bool allowed = result.kind == outcome_kind::not_run || call.context.idempotent;
+    return allowed && call.targets_reached < call.most_targets &&
+           budget_of(call.context.service).spend();
+}
+
 bool outbound_calls::may_retry(const outbound_call& call, const outcome& result, instant now)
 {
+    if (call.routed) {
+        return may_retry_routed(call, result, now);
+    }
     if (!call.context.idempotent || call.allowance.left() == 0) {
         return false;
     }
@@ -332,11 +365,14 @@
     const instant now = at.now;
     call.last_result = result;
     call.may_have_run = call.may_have_run || result.kind == outcome_kind::unknown;
+    const bool reached =
+        result.kind != outcome_kind::not_run || result.reason == outcome_reason::target_shed;
+    call.targets_reached += reached ? 1 : 0;
     if (result.kind == outcome_kind::answered || !may_retry(call, result, now)) {
         end(call.id, result, fenced, answer);
         return;
     }
-    const bool spent = call.allowance.spend();
+    const bool spent = call.routed || call.allowance.spend();
     assert(spent && "a retry is made only out of the allowance");
     (void)spent;
     ++call.context.attempt;
--- a/lib/subscription/config_subscriber.cpp
+++ b/lib/subscription/config_subscriber.cpp
@@ -34,7 +34,8 @@
     }
     const auto order = [&](const std::string& name) {
         const member_standing& m = members_.at(name);
-        return std::make_tuple(!is_good(m, now), name != leader_, m.round_trip, m.last_reply);
+        return std::make_tuple(!is_good(m, now), settings_.follows_leader && name != leader_,
+                               m.round_trip, m.last_reply);
     };
     std::stable_sort(names.begin(), names.end(), [&](const std::string& a, const std::string& b) {
         return order(a) < order(b);
@@ -143,12 +144,14 @@
         // Versions only go upwards, so that what an old member tells can be taken, but it does not
         // make the node's configuration fresh.
         take_policies(reply, output);
+        take_document(reply, output);
         return output;
     }
     note_members(reply);
     fresh_at_ = now;
     ever_fresh_ = true;
     take_policies(reply, output);
+    take_document(reply, output);
     take_owners(reply, output);
     take_view(reply, output);
     if (reply.lease) {
@@ -184,6 +187,17 @@
     }
 }
 
+void config_subscriber::take_document(const poll_reply& reply, subscriber_output& output)
+{
+    if (reply.document && reply.document->changed_in > document_.changed_in) {
+        document_ = *reply.document;
+    }
+    if (ever_fresh_ && document_.changed_in > told_document_) {
+        told_document_ = document_.changed_in;
+        output.document = document_;
+    }
+}
+
 void config_subscriber::take_owners(const poll_reply& reply, subscriber_output& output)
 {
     if (reply.owners_version <= owners_.version) {
--- a/unittests/once/at_most_once_test.cpp
+++ b/unittests/once/at_most_once_test.cpp
@@ -71,8 +71,11 @@
         r.node_incarnation = i;
         r.place = {region_name("r1"), zone_name("a")};
         const bool leaving = draining.count(name) != 0;
-        r.target = target_announcement{
-            service_name("fees"), {}, 2, leaving ? target_state::draining : target_state::ready};
+        r.target = target_announcement{service_name("fees"),
+                                       "",
+                                       {},
+                                       2,
+                                       leaving ? target_state::draining : target_state::ready};
         return r;
     }
 
