--- a/include/fescuedyke/codec/common_fields.h
+++ b/include/fescuedyke/codec/common_fields.h
@@ -78,7 +78,7 @@
 }
 template <class A> void fields(A& a, target_announcement& x)
 {
-    a(x.service, x.identity, x.labels, x.slots, x.state, x.warm_up);
+    a(x.service, x.identity, x.labels, x.slots, x.state);
 }
 template <class A> void fields(A& a, node_record& x)
 {
--- a/include/fescuedyke/membership/node_record.h
+++ b/include/fescuedyke/membership/node_record.h
@@ -22,13 +22,11 @@
     label_set labels;
     int slots = 0;
     target_state state = target_state::ready;
-    /// How much longer the target stays slow after its start.
-    millis warm_up{};
 
     friend bool operator==(const target_announcement& a, const target_announcement& b)
     {
         return a.service == b.service && a.identity == b.identity && a.labels == b.labels &&
-               a.slots == b.slots && a.state == b.state && a.warm_up == b.warm_up;
+               a.slots == b.slots && a.state == b.state;
     }
 };
 
--- a/lib/daemon/traffic_runtime.cpp
+++ b/lib/daemon/traffic_runtime.cpp
@@ -119,23 +119,24 @@
 {
     const inbound_calls& inbound = core_.inbound();
     target_was_ready_ = inbound.ready(loop_.now().now);
+    std::optional<target_announcement> target;
+    if (inbound.has_target()) {
+        const target_state state = target_was_ready_ ? target_state::ready : target_state::draining;
+        target = target_announcement{target_info_.service, target_info_.identity,
+                                     target_info_.labels, target_info_.slots, state};
+    }
     const incarnation present = core_.owned().self_incarnation();
-    record_.sequence = present == record_.node_incarnation ? record_.sequence + 1 : 1;
+    const bool known = record_.sequence > 0 && record_.node_incarnation == present;
+    if (known && record_.target == target) {
+        return;
+    }
+    record_.sequence = known ? record_.sequence + 1 : 1;
     record_.instance = settings_.self;
     record_.node_incarnation = present;
     record_.address = settings_.address;
     record_.place = settings_.place;
     record_.owner = settings_.owner;
-    record_.target.reset();
-    if (inbound.has_target()) {
-        const target_state state = target_was_ready_ ? target_state::ready : target_state::draining;
-        record_.target = target_announcement{target_info_.service,
-                                             target_info_.identity,
-                                             target_info_.labels,
-                                             target_info_.slots,
-                                             state,
-                                             target_info_.warm_up};
-    }
+    record_.target = std::move(target);
     listeners_.on_record(record_, target_was_ready_);
 }
 
--- a/lib/node/inbound_calls.cpp
+++ b/lib/node/inbound_calls.cpp
@@ -409,7 +409,11 @@
 
 void inbound_calls::warm_up(instant now)
 {
-    if (!admission_ || warm_up_ <= millis(0)) {
+    if (!admission_) {
+        return;
+    }
+    if (warm_up_ <= millis(0)) {
+        admission_->set_warm_up_share(1.0);
         return;
     }
     const double age = static_cast<double>((now - announced_at_).count());
--- a/tools/fescuedyke/main.cpp
+++ b/tools/fescuedyke/main.cpp
@@ -2,6 +2,7 @@
 #include "fescuedyke/daemon/daemon.h"
 #include "fescuedyke/logging/json_log.h"
 #include "fescuedyke/settings/process_settings.h"
+#include "platform/process.h"
 
 #include <boost/program_options.hpp>
 #include <nlohmann/json.hpp>
@@ -42,6 +43,31 @@
     return 0;
 }
 
+int run_on_platform(const std::string& role)
+{
+    if (role != "node" && role != "member") {
+        std::cerr << "platform: must be node or member\n";
+        return fescuedyke::usage_exit_code;
+    }
+    const absl::StatusOr<fescuedyke::platform::settings> settings =
+        fescuedyke::platform::load_settings();
+    if (!settings.ok()) {
+        std::cerr << settings.status().message() << "\n";
+        return fescuedyke::usage_exit_code;
+    }
+    fescuedyke::start_log(settings->process.instance.value(), settings->process.log_level);
+    const std::uint64_t seed = std::random_device{}();
+    fescuedyke::write_log(fescuedyke::log_level::info, "seed", {{"seed", seed}});
+    const absl::Status ended = role == "node" ? fescuedyke::platform::run_node(*settings, seed)
+                                              : fescuedyke::platform::run_member(*settings, seed);
+    if (!ended.ok()) {
+        fescuedyke::write_log(fescuedyke::log_level::error, "failed",
+                              {{"message", std::string(ended.message())}});
+        return exit_failed;
+    }
+    return 0;
+}
+
 } // namespace
 
 int main(int argc, char** argv)
@@ -51,6 +77,8 @@
     add("help,h", "print this text");
     add("config,c", options::value<std::string>(), "settings file (YAML)");
     add("check", "only check the settings and print every fault with its line");
+    add("platform", options::value<std::string>(),
+        "run on the users' platform as 'node' or 'member'; it tells where the settings are");
     add("seed", options::value<std::uint64_t>(), "seed of the random numbers");
     const auto parsed = fescuedyke::parse_command_line(argc, argv, description);
     if (!parsed) {
@@ -61,6 +89,9 @@
         std::cout << description;
         return 0;
     }
+    if (given.count("platform") != 0) {
+        return run_on_platform(given["platform"].as<std::string>());
+    }
     if (given.count("config") == 0) {
         std::cerr << "config: is missing\n" << description;
         return fescuedyke::usage_exit_code;
--- a/unittests/control/control_cluster_test.cpp
+++ b/unittests/control/control_cluster_test.cpp
@@ -227,8 +227,7 @@
     poll.record.instance = instance_id("t1");
     poll.record.node_incarnation = incarnation(1);
     poll.record.sequence = 1;
-    poll.record.target =
-        target_announcement{service_name("s"), "", {}, 4, target_state::ready, millis(0)};
+    poll.record.target = target_announcement{service_name("s"), "", {}, 4, target_state::ready};
     poll.wants_lease = true;
     std::optional<millis> lease;
     c.run_for(millis(500));
--- a/unittests/membership/lease_table_test.cpp
+++ b/unittests/membership/lease_table_test.cpp
@@ -16,7 +16,7 @@
     r.instance = instance_id(name);
     r.node_incarnation = incarnation(inc);
     r.sequence = sequence;
-    r.target = target_announcement{service_name("s"), "", {}, 4, state, millis(0)};
+    r.target = target_announcement{service_name("s"), "", {}, 4, state};
     return r;
 }
 
--- a/unittests/subscription/config_subscriber_test.cpp
+++ b/unittests/subscription/config_subscriber_test.cpp
@@ -120,8 +120,7 @@
     node_status status;
     status.live = true;
     status.record.instance = instance_id("t");
-    status.record.target =
-        target_announcement{service_name("s"), "", {}, 1, target_state::ready, millis(0)};
+    status.record.target = target_announcement{service_name("s"), "", {}, 1, target_state::ready};
     reply.view = {1, 0, 2, {status}};
     const auto output = s.on_reply(polls[0].number, reply, start);
     ASSERT_NE(find_event<targets_in_view>(output), nullptr);
