Keep nodes off members that lag or left, and give up silent peers

Connections to machines that were gone hung until the caller's time was up. Change: messages carry the sender's address; a member is as fresh as the beacon only when it lacks nothing committed; unlisted members and views of members not asked are dropped; failing members are avoided for longer; peers without a sign of life are closed.

--- a/bench/cluster/cluster.cpp
+++ b/bench/cluster/cluster.cpp
@@ -57,16 +57,46 @@
     }
     m.bytes_read = found->bytes_read;
     member_list initial;
-    for (const std::string& other : names()) {
+    for (const std::string& other : m.seeds.empty() ? names() : m.seeds) {
         initial.push_back(entry_of(other));
+        initial.back().voter = m.founding;
     }
     member_entry self = entry_of(name);
     self.id = found->id;
-    m.core = std::make_unique<control_core>(settings_, self, initial, *found, ++epochs_, *m.store,
+    control_settings settings = settings_;
+    settings.raft.may_found = m.founding;
+    m.core = std::make_unique<control_core>(settings, self, initial, *found, ++epochs_, *m.store,
                                             *m.accounts, *m.random);
     return absl::OkStatus();
 }
 
+absl::Status control_cluster::add(const std::string& name, const std::vector<std::string>& seeds,
+                                  bool founding)
+{
+    member& m = members_[name];
+    m.seeds = seeds;
+    m.founding = founding;
+    return start(name);
+}
+
+void control_cluster::founded()
+{
+    for (auto& [name, m] : members_) {
+        m.founding = false;
+    }
+}
+
+void control_cluster::propose_document(const std::string& at, std::uint64_t request,
+                                       const document_change& change)
+{
+    handle(at, document_requested{request_id(request), change});
+}
+
+void control_cluster::read_document(const std::string& at, std::uint64_t request)
+{
+    handle(at, document_read{request_id(request)});
+}
+
 void control_cluster::crash(const std::string& name)
 {
     members_.at(name).core.reset();
@@ -147,6 +177,9 @@
         if (const auto* a = std::get_if<answer_change>(&action)) {
             answers_[a->request.value()] = *a;
         }
+        if (const auto* a = std::get_if<answer_document>(&action)) {
+            documents_[a->request.value()] = *a;
+        }
         if (const auto* a = std::get_if<answer_poll>(&action)) {
             const auto found = polls_.find(a->request.value());
             if (found != polls_.end()) {
--- a/bench/cluster/cluster.h
+++ b/bench/cluster/cluster.h
@@ -48,6 +48,16 @@
     void poll(const std::string& at, const node_poll& poll,
               const std::function<void(const poll_reply&)>& done);
 
+    /// Adds an instance that knows only \p seeds; \p founding tells whether this is the first start
+    /// of the whole system.
+    absl::Status add(const std::string& name, const std::vector<std::string>& seeds, bool founding);
+    /// Starts after this are no first starts.
+    void founded();
+    void propose_document(const std::string& at, std::uint64_t request,
+                          const document_change& change);
+    void read_document(const std::string& at, std::uint64_t request);
+    const std::map<std::uint64_t, answer_document>& documents() const { return documents_; }
+
     void crash(const std::string& name);
     /// Fails when the disk cannot be read.
     absl::Status start(const std::string& name);
@@ -76,6 +86,9 @@
         std::uint64_t starts = 0;
         std::size_t bytes_read = 0;
         bool paused = false;
+        bool founding = true;
+        /// What it is told of the others at its start; empty for all.
+        std::vector<std::string> seeds;
     };
     struct parcel {
         std::string from;
@@ -100,6 +113,7 @@
     std::set<std::pair<std::string, std::string>> cut_;
     link_faults faults_;
     std::map<std::uint64_t, answer_change> answers_;
+    std::map<std::uint64_t, answer_document> documents_;
     std::map<std::uint64_t, std::function<void(const poll_reply&)>> polls_;
     std::map<std::uint64_t, std::string> leaders_;
     std::map<std::uint64_t, std::uint64_t> committed_terms_;
--- a/include/fescuedyke/codec/common_fields.h
+++ b/include/fescuedyke/codec/common_fields.h
@@ -175,7 +175,7 @@
 }
 template <class A> void fields(A& a, consensus_message& x)
 {
-    a(x.from, x.body);
+    a(x.from, x.from_address, x.body);
 }
 
 } // namespace fescuedyke
--- a/include/fescuedyke/consensus/messages.h
+++ b/include/fescuedyke/consensus/messages.h
@@ -146,6 +146,8 @@
 
 struct consensus_message {
     member_id from;
+    /// Where the sender is reached; the receiver may not know it from its own log yet.
+    endpoint from_address;
     consensus_body body;
 };
 
--- a/include/fescuedyke/consensus/raft_core.h
+++ b/include/fescuedyke/consensus/raft_core.h
@@ -202,6 +202,10 @@
     instant last_broadcast_;
     instant last_join_;
     std::map<member_id, joiner> joiners_;
+    /// The leader last heard, which need not stand in this member's log.
+    endpoint leader_address_;
+    /// Of the message that is being taken.
+    endpoint sender_address_;
     std::string incoming_snapshot_;
     log_index incoming_index_;
     raft_output output_;
--- a/include/fescuedyke/daemon/control_runtime.h
+++ b/include/fescuedyke/daemon/control_runtime.h
@@ -64,6 +64,8 @@
     void on_subscriber_tick();
     void on_member_tick();
     void carry_out(const subscriber_output& output);
+    void note_dependencies();
+    void note_member();
     void send_account(const account_report& report, const std::string& member,
                       std::function<void()> done);
     void handle(const control_event& event);
@@ -95,6 +97,12 @@
     account_report last_account_;
     stored_member found_;
     bool disk_reported_ = false;
+    /// What the log was last told of.
+    std::vector<std::string> asked_;
+    bool was_fresh_ = false;
+    raft_role told_role_ = raft_role::follower;
+    std::size_t told_members_ = 0;
+    log_term told_term_;
     std::uint64_t polls_sent_ = 0;
     std::uint64_t poll_bytes_sent_ = 0;
     std::uint64_t poll_bytes_received_ = 0;
--- a/include/fescuedyke/membership/view_builder.h
+++ b/include/fescuedyke/membership/view_builder.h
@@ -5,6 +5,7 @@
 
 #include <map>
 #include <string>
+#include <vector>
 
 /// \file
 /// A node's view of targets, put together from what several members tell it.
@@ -22,6 +23,9 @@
     /// No longer counts what \p member told.
     void drop(const std::string& member);
 
+    /// Returns the members whose word counts.
+    std::vector<std::string> members() const;
+
     /// Returns the version to name when \p member is asked next, with its epoch.
     std::uint64_t known_version(const std::string& member) const;
     std::uint64_t known_epoch(const std::string& member) const;
--- a/include/fescuedyke/subscription/config_subscriber.h
+++ b/include/fescuedyke/subscription/config_subscriber.h
@@ -7,6 +7,7 @@
 
 #include <map>
 #include <optional>
+#include <set>
 #include <string>
 #include <vector>
 
@@ -23,6 +24,8 @@
     millis beacon_limit{1500};
     /// How long a member that failed or was stale is not asked while others are there.
     millis avoid{2000};
+    /// The same after many failures in a row.
+    millis longest_avoid{16'000};
     /// Members asked at the same time.
     std::size_t members_at_once = 2;
     /// Whether the leading member is asked before nearer ones.
@@ -59,6 +62,8 @@
     millis beacon_age;
     millis round_trip;
     bool replied = false;
+    /// Polls in a row that brought no fresh word.
+    int failures = 0;
 };
 
 /// Takes configuration only upwards in version, from two members at once: the leader, which alone
@@ -97,8 +102,9 @@
     void take_policies(const poll_reply& reply, subscriber_output& output);
     void take_document(const poll_reply& reply, subscriber_output& output);
     void take_owners(const poll_reply& reply, subscriber_output& output);
-    void take_view(const poll_reply& reply, subscriber_output& output);
+    void take_view(const poll_reply& reply, instant now, subscriber_output& output);
     bool is_good(const member_standing& m, instant now) const;
+    void forget_unlisted(const poll_reply& reply);
     void avoid(const std::string& member, instant now);
 
     subscriber_settings settings_;
@@ -107,6 +113,8 @@
     node_record record_;
     bool wants_lease_ = false;
     bool record_changed_ = true;
+    /// Members that the latest polls went to.
+    std::set<std::string> asked_;
     std::uint64_t next_number_ = 1;
     std::map<std::uint64_t, open_poll> open_;
     instant last_round_;
--- a/include/fescuedyke/transport/h2_connection.h
+++ b/include/fescuedyke/transport/h2_connection.h
@@ -61,10 +61,17 @@
     void respond(std::int32_t stream, frame body);
     /// Gives up a request that was sent, or refuses one that came in.
     void reset(std::int32_t stream, std::uint32_t error_code);
+    /// Asks the other side for a sign of life.
+    void ping();
+    /// Closes at once; open requests fail.
+    void abort() { close(); }
     /// Tells the other side that no new requests are taken.
     void shut_down();
 
     bool closed() const { return closed_; }
+    bool connected() const { return connected_; }
+    /// When bytes last came in; before that, when the connection began.
+    instant last_heard() const { return last_heard_; }
     std::size_t open_streams() const { return streams_.size(); }
 
 private:
@@ -111,6 +118,7 @@
     std::map<std::int32_t, stream_state> streams_;
     std::string unsent_;
     std::size_t unsent_from_ = 0;
+    instant last_heard_;
     bool connected_ = false;
     bool closed_ = false;
     bool flushing_ = false;
--- a/include/fescuedyke/transport/peer_client.h
+++ b/include/fescuedyke/transport/peer_client.h
@@ -11,7 +11,9 @@
 #include <vector>
 
 /// \file
-/// Requests to other processes of the system over one long-lived connection each.
+/// Requests to other processes of the system over one long-lived connection each. A connection
+/// that cannot be made, or whose other side gives no sign of life while requests are open, is
+/// closed, and its requests fail.
 
 namespace fescuedyke {
 
@@ -46,9 +48,12 @@
 
     std::shared_ptr<link> link_to(const endpoint& address);
     void retire(const endpoint& address);
+    void tend();
+    void schedule_tending();
 
     event_loop& loop_;
     std::uint64_t next_ = 1;
+    bool tending_ = false;
     std::map<link_key, std::shared_ptr<link>> links_;
     /// Connections that take no new requests but still have some open.
     std::vector<std::shared_ptr<link>> retired_;
--- a/lib/consensus/raft_core.cpp
+++ b/lib/consensus/raft_core.cpp
@@ -195,6 +195,7 @@
 {
     role_ = raft_role::leader;
     leader_ = self_;
+    leader_address_ = self_entry_.address;
     // Nothing is certain until a first round has been confirmed.
     confirmed_at_ = now - settings_.election_timeout;
     rounds_.clear();
@@ -227,13 +228,16 @@
         known = find_named(to.name);
     }
     endpoint address;
-    if (known != nullptr) {
+    if (leader_ && *leader_ == to) {
+        address = leader_address_;
+    }
+    else if (known != nullptr) {
         address = known->address;
     }
     else if (const auto joiner = joiners_.find(to); joiner != joiners_.end()) {
         address = joiner->second.request.address;
     }
-    output_.messages.push_back({to, address, {self_, std::move(body)}});
+    output_.messages.push_back({to, address, {self_, self_entry_.address, std::move(body)}});
 }
 
 void raft_core::on(const member_id& from, const campaign_now& m, instant now)
@@ -249,6 +253,7 @@
     if (message.from == self_) {
         return;
     }
+    sender_address_ = message.from_address;
     std::visit([&](const auto& body) { on(message.from, body, now); }, message.body);
 }
 
--- a/lib/consensus/raft_members.cpp
+++ b/lib/consensus/raft_members.cpp
@@ -70,10 +70,7 @@
 {
     if (role_ != raft_role::leader && leader_ && *leader_ != from) {
         // The one that asks may know only members that do not lead.
-        const member_entry* leader = find_member(*leader_);
-        if (leader != nullptr) {
-            output_.messages.push_back({leader->id, leader->address, {from, m}});
-        }
+        output_.messages.push_back({*leader_, leader_address_, {from, sender_address_, m}});
     }
     if (find_member(from) == nullptr) {
         joiners_[from] = {m, now};
--- a/lib/consensus/raft_replication.cpp
+++ b/lib/consensus/raft_replication.cpp
@@ -87,6 +87,7 @@
         become_follower(term, now);
     }
     leader_ = from;
+    leader_address_ = sender_address_;
     heard_leader_ = true;
     last_leader_contact_ = now;
     reset_election_timer(now);
@@ -101,9 +102,6 @@
         }
         return;
     }
-    if (m.confirmed) {
-        confirmed_at_ = now;
-    }
     const bool below_base = m.previous_index < log_.base().index;
     const std::optional<log_term> held = log_.term_at(m.previous_index);
     if (!below_base && (!held || *held != m.previous_term)) {
@@ -119,6 +117,10 @@
     if (const log_index known = std::min(m.commit, reached); known > commit_) {
         commit_ = known;
     }
+    // What this member holds is as new as the beacon only when it lacks nothing committed.
+    if (m.confirmed && commit_ >= m.commit) {
+        confirmed_at_ = now;
+    }
     send(from, append_reply{hard_.term, true, reached, m.round});
 }
 
--- a/lib/daemon/control_runtime.cpp
+++ b/lib/daemon/control_runtime.cpp
@@ -160,6 +160,54 @@
 {
     loop_.after(subscriber_tick_period, [this] { on_subscriber_tick(); });
     carry_out(subscriber_.tick(loop_.now().now));
+    note_dependencies();
+}
+
+void control_runtime::note_dependencies()
+{
+    const instant now = loop_.now().now;
+    if (const bool fresh = subscriber_.is_fresh(now); fresh != was_fresh_) {
+        was_fresh_ = fresh;
+        write_log(fresh ? log_level::info : log_level::warning,
+                  fresh ? "configuration-fresh" : "configuration-not-fresh",
+                  {{"version", subscriber_.version().value()}});
+    }
+    const std::vector<std::string> asked = subscriber_.chosen(now);
+    if (asked == asked_) {
+        return;
+    }
+    asked_ = asked;
+    nlohmann::json standings = nlohmann::json::object();
+    for (const std::string& name : asked) {
+        const member_standing& m = subscriber_.members().at(name);
+        standings[name] = {{"beacon_age_ms", m.beacon_age.count()},
+                           {"replied", m.replied},
+                           {"round_trip_ms", m.round_trip.count()}};
+    }
+    write_log(log_level::info, "members-asked",
+              {{"members", standings}, {"version", subscriber_.version().value()}});
+}
+
+void control_runtime::note_member()
+{
+    const raft_core& raft = core_->raft();
+    const std::size_t members = raft.log().members().size();
+    if (raft.role() == told_role_ && raft.term() == told_term_ && members == told_members_) {
+        return;
+    }
+    told_role_ = raft.role();
+    told_term_ = raft.term();
+    told_members_ = members;
+    nlohmann::json voters = nlohmann::json::array();
+    for (const member_entry& m : raft.log().members()) {
+        voters.push_back(m.id.name + (m.voter ? "" : " (learner)"));
+    }
+    write_log(log_level::info, "member-role",
+              {{"role", to_string(raft.role())},
+               {"term", raft.term().value()},
+               {"commit", raft.commit_index().value()},
+               {"leader", raft.leader() ? raft.leader()->name : ""},
+               {"members", voters}});
 }
 
 void control_runtime::carry_out(const subscriber_output& output)
@@ -198,6 +246,7 @@
 {
     loop_.after(member_tick_period, [this] { on_member_tick(); });
     handle(control_tick{});
+    note_member();
     if (core_->disk().ok() == disk_reported_) {
         disk_reported_ = !core_->disk().ok();
         write_log(disk_reported_ ? log_level::error : log_level::info,
--- a/lib/membership/view_builder.cpp
+++ b/lib/membership/view_builder.cpp
@@ -47,6 +47,15 @@
     changed_ = members_.erase(member) > 0 || changed_;
 }
 
+std::vector<std::string> view_builder::members() const
+{
+    std::vector<std::string> names;
+    for (const auto& [name, t] : members_) {
+        names.push_back(name);
+    }
+    return names;
+}
+
 std::uint64_t view_builder::known_version(const std::string& member) const
 {
     const auto found = members_.find(member);
--- a/lib/subscription/config_subscriber.cpp
+++ b/lib/subscription/config_subscriber.cpp
@@ -5,6 +5,13 @@
 
 namespace fescuedyke {
 
+namespace {
+
+/// Members whose round trips differ by less count as equally near; the one asked so far stays.
+constexpr millis same_distance{16};
+
+} // namespace
+
 config_subscriber::config_subscriber(const subscriber_settings& settings,
                                      std::vector<member_seed> seeds)
     : settings_(settings)
@@ -35,7 +42,8 @@
     const auto order = [&](const std::string& name) {
         const member_standing& m = members_.at(name);
         return std::make_tuple(!is_good(m, now), settings_.follows_leader && name != leader_,
-                               m.round_trip, m.last_reply);
+                               m.round_trip.count() / same_distance.count(),
+                               asked_.count(name) == 0, m.last_reply);
     };
     std::stable_sort(names.begin(), names.end(), [&](const std::string& a, const std::string& b) {
         return order(a) < order(b);
@@ -50,7 +58,11 @@
     if (found == members_.end()) {
         return;
     }
-    found->second.avoid_until = now + settings_.avoid;
+    constexpr int most_doublings = 3;
+    const int doublings = std::min(found->second.failures, most_doublings);
+    ++found->second.failures;
+    found->second.avoid_until =
+        now + std::min(settings_.avoid * (std::int64_t{1} << doublings), settings_.longest_avoid);
     // What it told is not relied on while others tell more; with no other it is all there is.
     const bool others = std::any_of(members_.begin(), members_.end(), [&](const auto& m) {
         return m.first != member && m.second.replied && is_good(m.second, now);
@@ -79,7 +91,9 @@
     polled_ = true;
     last_round_ = now;
     record_changed_ = false;
-    for (const std::string& name : chosen(now)) {
+    const std::vector<std::string> next = chosen(now);
+    asked_ = {next.begin(), next.end()};
+    for (const std::string& name : next) {
         const bool busy = std::any_of(open_.begin(), open_.end(),
                                       [&](const auto& p) { return p.second.member == name; });
         if (busy) {
@@ -122,6 +136,18 @@
             members_[m.id.name].address = m.address;
         }
     }
+    forget_unlisted(reply);
+}
+
+void config_subscriber::forget_unlisted(const poll_reply& reply)
+{
+    for (auto it = members_.begin(); it != members_.end();) {
+        const bool listed =
+            std::any_of(reply.members.begin(), reply.members.end(),
+                        [&](const member_entry& m) { return m.id.name == it->first; });
+        // A member that was taken out is no longer told anything.
+        it = listed || reply.members.empty() ? std::next(it) : members_.erase(it);
+    }
 }
 
 subscriber_output config_subscriber::on_reply(std::uint64_t number, const poll_reply& reply,
@@ -134,11 +160,18 @@
     }
     const open_poll asked = found->second;
     open_.erase(found);
-    member_standing& m = members_[asked.member];
-    m.replied = true;
+    const auto standing = members_.find(asked.member);
+    if (standing == members_.end()) {
+        // It was taken out of the group while it was asked.
+        return output;
+    }
+    member_standing& m = standing->second;
+    m.failures = reply.beacon_age > settings_.beacon_limit ? m.failures : 0;
     m.last_reply = now;
     m.beacon_age = reply.beacon_age;
-    m.round_trip = now - asked.sent;
+    const millis took = now - asked.sent;
+    m.round_trip = m.replied ? millis((m.round_trip.count() * 3 + took.count()) / 4) : took;
+    m.replied = true;
     if (reply.beacon_age > settings_.beacon_limit) {
         avoid(asked.member, now);
         // Versions only go upwards, so that what an old member tells can be taken, but it does not
@@ -153,7 +186,7 @@
     take_policies(reply, output);
     take_document(reply, output);
     take_owners(reply, output);
-    take_view(reply, output);
+    take_view(reply, now, output);
     if (reply.lease) {
         output.events.emplace_back(lease_renewed{asked.sent + *reply.lease, reply.owners_version});
     }
@@ -215,9 +248,17 @@
     output.events.emplace_back(owners_in_force{std::make_shared<bucket_table>(owners_)});
 }
 
-void config_subscriber::take_view(const poll_reply& reply, subscriber_output& output)
+void config_subscriber::take_view(const poll_reply& reply, instant now, subscriber_output& output)
 {
     view_.on_delta(reply.member, reply.view);
+    // What another member told before it was left for this one may have ended since.
+    const std::vector<std::string> asked = chosen(now);
+    for (const std::string& member : view_.members()) {
+        const bool current = std::find(asked.begin(), asked.end(), member) != asked.end();
+        if (!current && member != reply.member) {
+            view_.drop(member);
+        }
+    }
     if (view_.changed()) {
         output.events.emplace_back(targets_in_view{std::make_shared<target_view>(view_.build())});
     }
--- a/lib/transport/h2_connection.cpp
+++ b/lib/transport/h2_connection.cpp
@@ -44,7 +44,8 @@
 } // namespace
 
 h2_connection::h2_connection(event_loop& loop, int fd, side which, h2_events& events)
-    : loop_(loop), fd_(fd), side_(which), events_(events), alive_(std::make_shared<bool>(true))
+    : loop_(loop), fd_(fd), side_(which), events_(events), last_heard_(loop.now().now),
+      alive_(std::make_shared<bool>(true))
 {
     set_socket_options(fd, peer_unanswered);
     make_session();
@@ -139,6 +140,14 @@
     }
 }
 
+void h2_connection::ping()
+{
+    if (!closed_) {
+        nghttp2_submit_ping(session_, NGHTTP2_FLAG_NONE, nullptr);
+        schedule_flush();
+    }
+}
+
 void h2_connection::shut_down()
 {
     if (!closed_) {
@@ -312,6 +321,7 @@
         if (got == 0) {
             return false;
         }
+        last_heard_ = loop_.now().now;
         const auto count = static_cast<std::size_t>(got);
         if (nghttp2_session_mem_recv(session_, buffer.data(), count) < 0) {
             return false;
--- a/lib/transport/peer_client.cpp
+++ b/lib/transport/peer_client.cpp
@@ -5,13 +5,29 @@
 
 namespace fescuedyke {
 
+namespace {
+
+/// How often connections with open requests are looked at.
+constexpr millis tend_period{200};
+
+/// Longest time that making a connection may take.
+constexpr millis connect_limit{700};
+
+/// Silence on a connection with open requests after which a sign of life is asked for, and after
+/// which the connection is given up.
+constexpr millis ask_after{800};
+constexpr millis give_up_after{2200};
+
+} // namespace
+
 /// One connection with the requests that are open on it.
 class peer_client::link final : public h2_events {
 public:
     link(event_loop& loop, int fd) : connection_(loop, fd, h2_connection::side::client, *this) {}
 
-    bool send(peer_request_id id, const std::string& path, frame body, callback done)
+    bool send(peer_request_id id, const std::string& path, frame body, callback done, instant now)
     {
+        busy_since_ = open_.empty() ? now : busy_since_;
         const std::int32_t stream = connection_.request(path, std::move(body));
         if (stream < 0) {
             return false;
@@ -33,6 +49,27 @@
     }
 
     bool closed() const { return connection_.closed(); }
+    bool idle() const { return open_.empty(); }
+
+    void tend(instant now)
+    {
+        if (open_.empty() || connection_.closed()) {
+            asked_ = false;
+            return;
+        }
+        // Silence counts from the first of the open requests, not from a former idle time.
+        const instant since = std::max(connection_.last_heard(), busy_since_);
+        const millis silent = now - since;
+        if (!connection_.connected() ? silent > connect_limit : silent > give_up_after) {
+            connection_.abort();
+            return;
+        }
+        const bool ask = connection_.connected() && silent > ask_after;
+        if (ask && !asked_) {
+            connection_.ping();
+        }
+        asked_ = ask;
+    }
 
     void on_request(std::int32_t, const std::string&, std::string) override {}
     void on_request_gone(std::int32_t) override {}
@@ -68,6 +105,8 @@
 
     std::map<std::int32_t, open_request> open_;
     std::map<peer_request_id, std::int32_t> streams_;
+    instant busy_since_;
+    bool asked_ = false;
     h2_connection connection_;
 };
 
@@ -116,21 +155,55 @@
         done(std::move(result));
     };
     std::shared_ptr<link> held = link_to(address);
-    if (held && !held->send(id, path, body, wrapped)) {
+    const instant now = loop_.now().now;
+    if (held && !held->send(id, path, body, wrapped, now)) {
         // The other side shuts down: what is open on the link goes on, new requests get another.
         retire(address);
         held = link_to(address);
-        const bool sent = held && held->send(id, path, std::move(body), wrapped);
+        const bool sent = held && held->send(id, path, std::move(body), wrapped, now);
         held = sent ? held : nullptr;
     }
     if (held) {
         requests_[id] = held;
+        schedule_tending();
         return id;
     }
     loop_.post([wrapped] { wrapped(peer_result(stream_failure::never_processed)); });
     return id;
 }
 
+void peer_client::schedule_tending()
+{
+    if (tending_) {
+        return;
+    }
+    tending_ = true;
+    loop_.after(tend_period, [this, alive = alive_] {
+        if (*alive) {
+            tending_ = false;
+            tend();
+        }
+    });
+}
+
+void peer_client::tend()
+{
+    const instant now = loop_.now().now;
+    std::vector<std::shared_ptr<link>> all = retired_;
+    for (const auto& [address, held] : links_) {
+        if (held) {
+            all.push_back(held);
+        }
+    }
+    for (const std::shared_ptr<link>& held : all) {
+        held->tend(now);
+    }
+    const bool busy = std::any_of(all.begin(), all.end(), [](const auto& l) { return !l->idle(); });
+    if (busy) {
+        schedule_tending();
+    }
+}
+
 void peer_client::cancel(peer_request_id id)
 {
     const auto found = requests_.find(id);
--- a/unittests/codec/codec_test.cpp
+++ b/unittests/codec/codec_test.cpp
@@ -105,9 +105,9 @@
     append.entries.resize(2);
     append.entries[0].index = log_index(5);
     append.entries[1].index = log_index(6);
-    EXPECT_TRUE(decode_consensus(encode_consensus({{"m1", 1}, append})).ok());
+    EXPECT_TRUE(decode_consensus(encode_consensus({{"m1", 1}, {}, append})).ok());
     append.entries[1].index = log_index(9);
-    EXPECT_FALSE(decode_consensus(encode_consensus({{"m1", 1}, append})).ok());
+    EXPECT_FALSE(decode_consensus(encode_consensus({{"m1", 1}, {}, append})).ok());
 }
 
 TEST(caller_headers, impossible_values_are_refused_by_name)
--- a/unittests/control/control_cluster_test.cpp
+++ b/unittests/control/control_cluster_test.cpp
@@ -260,7 +260,7 @@
     const auto ask = [&](raft_core& core, const char* candidate) {
         vote_request request;
         request.term = log_term(5);
-        core.receive({{candidate, 9}, request}, instant(100'000));
+        core.receive({{candidate, 9}, {}, request}, instant(100'000));
         const raft_output output = core.take_output();
         if (output.must_persist()) {
             EXPECT_TRUE(store.persist(output).ok());
--- a/unittests/subscription/config_subscriber_test.cpp
+++ b/unittests/subscription/config_subscriber_test.cpp
@@ -112,6 +112,71 @@
     EXPECT_TRUE(output.events.empty());
 }
 
+subscriber_settings one_at_a_time()
+{
+    subscriber_settings settings;
+    settings.members_at_once = 1;
+    settings.follows_leader = false;
+    return settings;
+}
+
+poll_reply reply_with_target(const std::string& member, bool live)
+{
+    poll_reply reply = reply_from(member, 1, millis(0));
+    node_status status;
+    status.live = live;
+    status.record.instance = instance_id("t");
+    status.record.target = target_announcement{service_name("s"), "", {}, 1, target_state::ready};
+    reply.view = {1, 0, 2, {status}};
+    for (const char* name : {"m1", "m2", "m3"}) {
+        member_entry m;
+        m.id.name = name;
+        m.address = {name, 1};
+        reply.members.push_back(m);
+    }
+    return reply;
+}
+
+TEST(config_subscriber, the_view_of_a_member_that_is_asked_no_more_is_dropped)
+{
+    config_subscriber s(one_at_a_time(), {{"m1", {"m1", 1}}, {"m2", {"m2", 1}}});
+    auto polls = s.tick(start).polls;
+    ASSERT_EQ(polls.size(), 1U);
+    const std::string first = polls[0].address.host;
+    s.on_reply(polls[0].number, reply_with_target(first, true), start + millis(50));
+    // Another member is nearer; by its word the target has left.
+    polls = s.tick(start + millis(300)).polls;
+    ASSERT_EQ(polls.size(), 1U);
+    const std::string second = polls[0].address.host;
+    ASSERT_NE(second, first);
+    s.on_reply(polls[0].number, reply_with_target(second, false), start + millis(301));
+    polls = s.tick(start + millis(600)).polls;
+    const std::string third = polls[0].address.host;
+    const auto output =
+        s.on_reply(polls[0].number, reply_with_target(third, false), start + millis(602));
+    const auto* view = find_event<targets_in_view>(output);
+    ASSERT_NE(view, nullptr);
+    EXPECT_TRUE(view->view->services.empty());
+}
+
+TEST(config_subscriber, a_member_that_was_taken_out_of_the_group_is_asked_no_more)
+{
+    config_subscriber s(one_at_a_time(), {{"gone", {"gone", 1}}, {"m1", {"m1", 1}}});
+    auto polls = s.tick(start).polls;
+    ASSERT_EQ(polls[0].address.host, "gone");
+    s.on_failed(polls[0].number, start + millis(100));
+    polls = s.tick(start + millis(300)).polls;
+    ASSERT_EQ(polls[0].address.host, "m1");
+    s.on_reply(polls[0].number, reply_with_target("m1", true), start + millis(301));
+    for (int i = 1; i < 100; ++i) {
+        const instant now = start + millis(400 * i);
+        for (const outgoing_poll& p : s.tick(now).polls) {
+            ASSERT_NE(p.address.host, "gone") << "after " << 400 * i << " ms";
+            s.on_reply(p.number, reply_with_target(p.address.host, true), now + millis(5));
+        }
+    }
+}
+
 TEST(config_subscriber, the_view_survives_the_loss_of_every_member)
 {
     config_subscriber s = make();
--- /dev/null
+++ b/unittests/transport/peer_silence_test.cpp
@@ -0,0 +1,77 @@
+#include "fescuedyke/transport/peer_client.h"
+#include "fescuedyke/transport/peer_server.h"
+
+#include <gtest/gtest.h>
+
+#include <sys/socket.h>
+#include <unistd.h>
+
+namespace fescuedyke {
+namespace {
+
+/// More than any limit of the client; reached only when a request never ends.
+constexpr millis patience{20'000};
+
+class peer_silence : public testing::Test {
+protected:
+    /// Runs the loop until the request has ended.
+    std::optional<peer_result> send(const endpoint& address)
+    {
+        std::optional<peer_result> result;
+        peers_.send(address, "/x", {"body", nullptr}, [&](peer_result r) {
+            result = std::move(r);
+            loop_.stop();
+        });
+        const timer_id limit = loop_.after(patience, [&] { loop_.stop(); });
+        loop_.run();
+        loop_.cancel(limit);
+        return result;
+    }
+
+    system_clock clock_;
+    event_loop loop_{clock_};
+    peer_client peers_{loop_};
+};
+
+TEST_F(peer_silence, a_request_to_a_side_that_gives_no_sign_of_life_fails)
+{
+    // The kernel takes the connection and the bytes; nobody reads them.
+    const endpoint silent{"127.0.0.1", 27311};
+    int fd = -1;
+    ASSERT_TRUE(listen_on(silent, fd).ok());
+    const std::optional<peer_result> result = send(silent);
+    ::close(fd);
+    ASSERT_TRUE(result.has_value()) << "the request never ended";
+    ASSERT_TRUE(std::holds_alternative<stream_failure>(*result));
+    EXPECT_EQ(std::get<stream_failure>(*result), stream_failure::lost);
+}
+
+TEST_F(peer_silence, a_connection_that_is_refused_counts_as_never_processed)
+{
+    const std::optional<peer_result> result = send({"127.0.0.1", 27312});
+    ASSERT_TRUE(result.has_value());
+    ASSERT_TRUE(std::holds_alternative<stream_failure>(*result));
+    EXPECT_EQ(std::get<stream_failure>(*result), stream_failure::never_processed);
+}
+
+TEST_F(peer_silence, a_side_that_answers_late_but_shows_signs_of_life_is_waited_for)
+{
+    const endpoint address{"127.0.0.1", 27313};
+    std::unique_ptr<peer_server> server;
+    server = std::make_unique<peer_server>(
+        loop_,
+        peer_server::handlers{[&](peer_stream_id id, const std::string&, const std::string&) {
+                                  loop_.after(millis(4000), [&server, id] {
+                                      server->respond(id, {"late", nullptr});
+                                  });
+                              },
+                              [](peer_stream_id) {}, [](std::uint64_t) { return true; }});
+    ASSERT_TRUE(server->listen(address).ok());
+    const std::optional<peer_result> result = send(address);
+    ASSERT_TRUE(result.has_value());
+    ASSERT_TRUE(std::holds_alternative<std::string>(*result));
+    EXPECT_EQ(std::get<std::string>(*result), "late");
+}
+
+} // namespace
+} // namespace fescuedyke
