Give a target all its slots, and send calls it refused elsewhere more often

Change: nodes on the platform keep the limit at the announced slots. Refused calls, which repeat nothing below them, have a retry budget of their own. Test: an admission queue that keeps its slots after refusals at any load.

--- a/include/fescuedyke/admission/admission_queue.h
+++ b/include/fescuedyke/admission/admission_queue.h
@@ -55,6 +55,9 @@
     std::uint64_t memory_bytes = 256ULL << 20U;
     /// Whether running idempotent work may be cancelled for more important work.
     bool preemption = true;
+    /// Whether the limit adapts below the slots. A target that keeps to its slots by itself, and
+    /// whose calls differ much in length, is better given all of them.
+    bool adapts = true;
 };
 
 /// Runs at most the adaptive limit of calls at once, keeps a short queue ordered by rank, and sheds
--- a/include/fescuedyke/admission/concurrency_limit.h
+++ b/include/fescuedyke/admission/concurrency_limit.h
@@ -13,7 +13,8 @@
 /// service time; it goes up a little at a time while neither is the case.
 class concurrency_limit {
 public:
-    explicit concurrency_limit(int slots);
+    /// Unless \p adapts, the limit stays at the slots.
+    explicit concurrency_limit(int slots, bool adapts = true);
 
     int current() const { return static_cast<int>(limit_); }
     int slots() const { return slots_; }
@@ -36,6 +37,7 @@
     void judge_trial(double throughput);
 
     int slots_;
+    bool adapts_;
     double limit_;
     double service_time_ = 0;
     double floor_time_ = 0;
--- a/include/fescuedyke/node/node_settings.h
+++ b/include/fescuedyke/node/node_settings.h
@@ -27,9 +27,15 @@
     std::uint64_t region_bytes_per_second = 1ULL << 20U;
     /// Whether running idempotent work may be cancelled for more important work.
     bool preemption = true;
+    /// Whether the target's limit adapts below its slots.
+    bool adapts_limit = true;
     /// Retries that one success earns, and the most that are saved up, for each service.
     double retry_share = 0.1;
     double most_saved_retries = 10;
+    /// The same for routed calls that a target refused without running them: sending these again
+    /// repeats no calls below them.
+    double refused_retry_share = 0.1;
+    double most_saved_refused_retries = 10;
     /// Whether admission levels of other nodes are heeded before a call is sent.
     bool refuse_early = true;
     /// Time that a run under a key may go on after its caller's deadline.
--- a/include/fescuedyke/node/outbound_calls.h
+++ b/include/fescuedyke/node/outbound_calls.h
@@ -94,6 +94,7 @@
     void refuse(const caller_request& event, const outcome& result, const service_name& service,
                 priority_class cls);
     pair_budget& budget_of(const service_name& service);
+    pair_budget& refused_budget_of(const service_name& service);
     outbound_call* find_attempt(call_id id, int attempt);
 
     const node_settings& settings_;
@@ -113,6 +114,7 @@
     std::map<inbound_id, std::set<call_id>> by_parent_;
     std::set<std::pair<instant, call_id>> deadlines_;
     std::map<service_name, pair_budget> budgets_;
+    std::map<service_name, pair_budget> refused_budgets_;
 };
 
 } // namespace fescuedyke
--- a/lib/admission/admission_queue.cpp
+++ b/lib/admission/admission_queue.cpp
@@ -18,7 +18,7 @@
 } // namespace
 
 admission_queue::admission_queue(const admission_settings& settings)
-    : settings_(settings), limit_(settings.slots)
+    : settings_(settings), limit_(settings.slots, settings.adapts)
 {
 }
 
@@ -242,7 +242,7 @@
 void admission_queue::set_slots(int slots)
 {
     if (slots != limit_.slots()) {
-        limit_ = concurrency_limit(slots);
+        limit_ = concurrency_limit(slots, settings_.adapts);
     }
 }
 
--- a/lib/admission/concurrency_limit.cpp
+++ b/lib/admission/concurrency_limit.cpp
@@ -20,7 +20,10 @@
 
 } // namespace
 
-concurrency_limit::concurrency_limit(int slots) : slots_(std::max(1, slots)), limit_(slots_) {}
+concurrency_limit::concurrency_limit(int slots, bool adapts)
+    : slots_(std::max(1, slots)), adapts_(adapts), limit_(slots_)
+{
+}
 
 void concurrency_limit::on_completed(instant now, millis took, int in_progress)
 {
@@ -30,14 +33,14 @@
     floor_time_ = first ? time : std::min(std::max(time, 0.5), floor_time_ * floor_drift);
     ++completed_in_window_;
     saturated_in_window_ = saturated_in_window_ || in_progress >= current();
-    if (now - window_start_ >= window) {
+    if (adapts_ && now - window_start_ >= window) {
         close_window(now);
     }
 }
 
 void concurrency_limit::on_target_shed(instant now, int in_progress)
 {
-    if (now - last_cut_ < cut_spacing && last_cut_.since_origin() != 0) {
+    if (!adapts_ || (now - last_cut_ < cut_spacing && last_cut_.since_origin() != 0)) {
         return;
     }
     last_cut_ = now;
--- a/lib/node/inbound_calls.cpp
+++ b/lib/node/inbound_calls.cpp
@@ -373,6 +373,7 @@
         settings.slots = event.slots;
         settings.memory_bytes = settings_.memory_bytes;
         settings.preemption = settings_.preemption;
+        settings.adapts = settings_.adapts_limit;
         // Calls that were queued for another service have nowhere to go.
         while (!calls_.empty()) {
             abandon(calls_.begin()->second, outcome_reason::target_unreachable, at.now);
--- a/lib/node/outbound_calls.cpp
+++ b/lib/node/outbound_calls.cpp
@@ -61,6 +61,14 @@
         .first->second;
 }
 
+pair_budget& outbound_calls::refused_budget_of(const service_name& service)
+{
+    return refused_budgets_
+        .emplace(service,
+                 pair_budget(settings_.refused_retry_share, settings_.most_saved_refused_retries))
+        .first->second;
+}
+
 std::optional<outcome>
 outbound_calls::refusal_at_entry(const caller_request& event,
                                  const absl::StatusOr<caller_options>& options)
@@ -301,6 +309,7 @@
     close_attempt(*call);
     if (event.reply.result.kind == outcome_kind::answered) {
         budget_of(context.service).on_success();
+        refused_budget_of(context.service).on_success();
     }
     next_step(*call, event.reply.result, event.reply.fenced, event.reply.answer, at);
 }
@@ -336,8 +345,13 @@
         return is_local_refusal(result.reason);
     }
     const bool allowed = result.kind == outcome_kind::not_run || call.context.idempotent;
-    return allowed && call.targets_reached < call.most_targets &&
-           budget_of(call.context.service).spend();
+    if (!allowed || call.targets_reached >= call.most_targets) {
+        return false;
+    }
+    pair_budget& budget = result.kind == outcome_kind::not_run
+                              ? refused_budget_of(call.context.service)
+                              : budget_of(call.context.service);
+    return budget.spend();
 }
 
 bool outbound_calls::may_retry(const outbound_call& call, const outcome& result, instant now)
--- a/unittests/admission/admission_queue_test.cpp
+++ b/unittests/admission/admission_queue_test.cpp
@@ -224,5 +224,26 @@
     }
 }
 
+TEST(admission_queue, a_target_that_keeps_to_its_slots_is_given_them_after_refusals_at_any_load)
+{
+    admission_settings settings;
+    settings.slots = 16;
+    settings.adapts = false;
+    admission_queue queue(settings);
+    instant now(1000);
+    for (std::uint64_t i = 1; i <= 200; ++i) {
+        admission_entry entry;
+        entry.id = inbound_id(i);
+        entry.order = rank(priority_class::normal, 1);
+        entry.deadline = now + millis(5000);
+        ASSERT_EQ(queue.offer(entry, now).run.size(), 1U);
+        now = now + millis(20);
+        // The target refuses some of its calls while it is nearly idle.
+        i % 4 == 0 ? queue.finish_shed(entry.id, now)
+                   : queue.finish(entry.id, true, millis(20), now);
+    }
+    EXPECT_EQ(queue.effective_limit(), 16);
+}
+
 } // namespace
 } // namespace fescuedyke
