Log decisions on standard output without ever waiting; send failed idempotent calls once more

Cause: on-call engineers have only logs; the log went to standard error, through a call that waits for its reader, and said nothing of a request. A target's failure ended an idempotent call even when another target was there and the retry budget had room. Change: lines go through a bounded queue; requests are followed at every hop or at none, by a hash of their id; lines on trouble have a rate. A failed answer is kept and given unless something better comes.

--- a/include/fescuedyke/daemon/edge_dialect.h
+++ b/include/fescuedyke/daemon/edge_dialect.h
@@ -21,6 +21,9 @@
     /// Returns what is sent to the target for \p call; the address is filled in by others.
     virtual target_request to_target(const dispatch_call& call) const = 0;
 
+    /// Returns the name by which the caller knows the request; empty if it gave none.
+    virtual std::string request_id(const http_request& request) const = 0;
+
     /// Returns whether the target says that it did not run the call.
     virtual bool says_not_run(const http_answer& answer) const = 0;
 };
@@ -30,6 +33,7 @@
 public:
     http_answer to_caller(const outcome& result, const http_answer& answer) const override;
     target_request to_target(const dispatch_call& call) const override;
+    std::string request_id(const http_request& request) const override;
     bool says_not_run(const http_answer& answer) const override;
 };
 
--- a/include/fescuedyke/daemon/traffic_runtime.h
+++ b/include/fescuedyke/daemon/traffic_runtime.h
@@ -2,6 +2,7 @@
 #define FESCUEDYKE_DAEMON_TRAFFIC_RUNTIME_H
 
 #include "fescuedyke/control/messages.h"
+#include "fescuedyke/daemon/decision_log.h"
 #include "fescuedyke/daemon/edge_dialect.h"
 #include "fescuedyke/metrics/time_summary.h"
 #include "fescuedyke/node/node_core.h"
@@ -72,6 +73,11 @@
     void publish_account();
     void check_stopped();
     void note_times(const node_event& event, instant now);
+    void log_event(const node_event& event, instant now);
+    void log_sent(const send_call& action);
+    void log_answer(const answer_caller& action);
+    void log_reply(const reply_call& action);
+    bool logs(const std::string& request, decision_kind kind);
 
     node_settings settings_;
     event_loop& loop_;
@@ -91,7 +97,16 @@
     /// From a caller's request to its outcome, and from a call's dispatch to the target's answer.
     time_summary call_times_;
     time_summary target_times_;
-    std::map<exchange_id, instant> callers_since_;
+    /// A caller's request, until it is answered.
+    struct open_request {
+        instant since;
+        std::string id;
+        service_name service;
+    };
+    decision_log decisions_;
+    std::map<exchange_id, open_request> callers_since_;
+    /// Requests that peers sent, until the reply.
+    std::map<exchange_id, std::string> peers_requests_;
     std::map<inbound_id, instant> dispatched_since_;
     instant last_account_;
     std::uint64_t told_revision_ = 0;
--- a/include/fescuedyke/node/outbound_calls.h
+++ b/include/fescuedyke/node/outbound_calls.h
@@ -45,6 +45,9 @@
     bool attempt_open = false;
     /// An earlier attempt may have run.
     bool may_have_run = false;
+    /// A failure that a target answered before the call was sent once more; the caller gets it
+    /// unless something better comes.
+    std::optional<http_answer> failed_answer;
     /// Why the latest attempt was not answered.
     std::optional<outcome> last_result;
 };
@@ -88,6 +91,7 @@
     bool may_retry_routed(const outbound_call& call, const outcome& result, instant now);
     void next_step(outbound_call& call, const outcome& result, bool fenced,
                    const http_answer& answer, moment at);
+    void send_again(outbound_call& call, moment at);
     void end(call_id id, const outcome& result, bool fenced, const http_answer& answer);
     void close_attempt(outbound_call& call);
     void cancel(outbound_call& call, outcome_reason reason, instant now);
--- a/lib/daemon/outcome_http.cpp
+++ b/lib/daemon/outcome_http.cpp
@@ -81,6 +81,12 @@
     return request;
 }
 
+std::string own_dialect::request_id(const http_request& request) const
+{
+    const std::string* key = find_header(request.headers, key_header);
+    return key != nullptr ? *key : "";
+}
+
 bool own_dialect::says_not_run(const http_answer& answer) const
 {
     return fescuedyke::says_not_run(answer);
--- a/lib/daemon/traffic_runtime.cpp
+++ b/lib/daemon/traffic_runtime.cpp
@@ -51,7 +51,9 @@
                          const std::uint64_t held = admission ? admission->bytes_held() : 0;
                          return held + bytes <= settings_.memory_bytes;
                      }}),
-      target_(loop)
+      target_(loop), decisions_({}, [](const std::string& event, const nlohmann::json& details) {
+          write_log(log_level::info, event, details);
+      })
 {
 }
 
@@ -72,13 +74,15 @@
     ++events_handled_;
     const moment at = loop_.now();
     note_times(event, at.now);
+    log_event(event, at.now);
     carry_out(core_.handle(event, at));
 }
 
 void traffic_runtime::note_times(const node_event& event, instant now)
 {
     if (const auto* request = std::get_if<caller_request>(&event)) {
-        callers_since_[request->exchange] = now;
+        callers_since_[request->exchange] = {now, dialect_.request_id(*request->request),
+                                             request->service};
     }
     if (const auto* answered = std::get_if<target_answered>(&event)) {
         const auto found = dispatched_since_.find(answered->call);
@@ -228,6 +232,82 @@
                      std::make_shared<http_request>(std::move(call->request))});
 }
 
+bool traffic_runtime::logs(const std::string& request, decision_kind kind)
+{
+    return decisions_.takes(request, kind, loop_.now().now);
+}
+
+void traffic_runtime::log_event(const node_event& event, instant now)
+{
+    if (const auto* call = std::get_if<peer_call>(&event)) {
+        peers_requests_[call->stream] = dialect_.request_id(*call->request);
+    }
+    if (const auto* gone = std::get_if<peer_cancelled>(&event)) {
+        peers_requests_.erase(gone->stream);
+    }
+    if (const auto* gone = std::get_if<caller_gone>(&event)) {
+        const auto found = callers_since_.find(gone->exchange);
+        if (found == callers_since_.end()) {
+            return;
+        }
+        if (decisions_.takes(found->second.id, decision_kind::trouble, now)) {
+            decisions_.write("caller-gone", found->second.id,
+                             {{"after_ms", (now - found->second.since).count()}});
+        }
+        callers_since_.erase(found);
+    }
+}
+
+void traffic_runtime::log_sent(const send_call& action)
+{
+    const std::string id = dialect_.request_id(*action.request);
+    const bool again = action.context.attempt > 0;
+    if (logs(id, again ? decision_kind::trouble : decision_kind::usual)) {
+        decisions_.write(again ? "sent-again" : "sent", id,
+                         {{"service", action.context.service.value()},
+                          {"to", action.instance.value()},
+                          {"target", action.context.target},
+                          {"attempt", action.context.attempt},
+                          {"time_left_ms", action.context.time_left.count()},
+                          {"class", to_string(action.context.order.cls())},
+                          {"configuration", core_.policies_version().value()}});
+    }
+}
+
+void traffic_runtime::log_answer(const answer_caller& action)
+{
+    const open_request& open = callers_since_.at(action.exchange);
+    constexpr int least_failure_status = 400;
+    const bool good =
+        action.result.kind == outcome_kind::answered && action.answer.status < least_failure_status;
+    if (logs(open.id, good ? decision_kind::usual : decision_kind::trouble)) {
+        decisions_.write("answered", open.id,
+                         {{"service", open.service.value()},
+                          {"outcome", to_string(action.result.kind)},
+                          {"reason", to_string(action.result.reason)},
+                          {"status", action.answer.status},
+                          {"took_ms", (loop_.now().now - open.since).count()}});
+    }
+}
+
+void traffic_runtime::log_reply(const reply_call& action)
+{
+    const auto found = peers_requests_.find(std::get<exchange_id>(action.to));
+    if (found == peers_requests_.end()) {
+        return;
+    }
+    const bool good = action.reply.result.kind == outcome_kind::answered;
+    if (logs(found->second, good ? decision_kind::usual : decision_kind::trouble)) {
+        decisions_.write("replied", found->second,
+                         {{"outcome", to_string(action.reply.result.kind)},
+                          {"reason", to_string(action.reply.result.reason)},
+                          {"status", action.reply.answer.status},
+                          {"in_progress", action.reply.load.in_progress},
+                          {"limit", action.reply.load.limit},
+                          {"expected_ms", action.reply.load.expected_time.count()}});
+    }
+}
+
 void traffic_runtime::carry_out(const node_actions& actions)
 {
     for (const node_action& action : actions) {
@@ -239,7 +319,8 @@
 {
     const auto since = callers_since_.find(action.exchange);
     if (since != callers_since_.end()) {
-        call_times_.add(loop_.now().now - since->second);
+        call_times_.add(loop_.now().now - since->second.since);
+        log_answer(action);
         callers_since_.erase(since);
     }
     http_.answer(action.exchange, dialect_.to_caller(action.result, action.answer));
@@ -247,6 +328,7 @@
 
 void traffic_runtime::carry_out(const send_call& action)
 {
+    log_sent(action);
     const call_id call = action.context.call;
     const int attempt = action.context.attempt;
     frame body{encode_call_head(action.context, *action.request), action.request->body};
@@ -303,6 +385,8 @@
 void traffic_runtime::carry_out(const reply_call& action)
 {
     if (const auto* stream = std::get_if<exchange_id>(&action.to)) {
+        log_reply(action);
+        peers_requests_.erase(*stream);
         server_.respond(peer_stream_id(stream->value()),
                         {encode_reply_head(action.reply), action.reply.answer.body});
     }
--- a/lib/logging/json_log.cpp
+++ b/lib/logging/json_log.cpp
@@ -1,13 +1,25 @@
 #include "fescuedyke/logging/json_log.h"
 
 #include <nlohmann/json.hpp>
+#include <spdlog/async.h>
 #include <spdlog/sinks/stdout_sinks.h>
 #include <spdlog/spdlog.h>
 
+#include <chrono>
+#include <cstdlib>
+#include <thread>
+
 namespace fescuedyke {
 
 namespace {
 
+/// Lines that wait for the reader; about 1 MB.
+constexpr std::size_t most_waiting = 4096;
+
+/// How long the end of the process waits for its last lines to be read.
+constexpr std::chrono::milliseconds last_lines{200};
+constexpr std::chrono::milliseconds last_lines_step{5};
+
 spdlog::level::level_enum to_spdlog(log_level level)
 {
     switch (level) {
@@ -23,24 +35,64 @@
     return spdlog::level::info;
 }
 
+void write_line(log_level level, const std::string& event, const nlohmann::json& details)
+{
+    const std::string name = nlohmann::json(event).dump();
+    const auto how = nlohmann::json::error_handler_t::replace;
+    spdlog::log(to_spdlog(level), R"("event":{},"details":{})", name,
+                details.dump(-1, ' ', false, how));
+}
+
+/// Only the thread that writes lines asks; a line or two more or less does no harm.
+std::uint64_t& told_dropped()
+{
+    static thread_local std::uint64_t told = 0;
+    return told;
+}
+
 } // namespace
 
 void start_log(const std::string& instance, const std::string& least_level)
 {
-    auto logger = spdlog::stderr_logger_mt("fescuedyke");
+    spdlog::init_thread_pool(most_waiting, 1);
+    auto logger = spdlog::create_async_nb<spdlog::sinks::stdout_sink_mt>("fescuedyke");
     const std::string quoted = nlohmann::json(instance).dump();
     logger->set_pattern(R"({"time":"%Y-%m-%dT%H:%M:%S.%e%z","level":"%l","instance":)" + quoted +
                         ",%v}");
     logger->set_level(spdlog::level::from_str(least_level));
+    logger->flush_on(spdlog::level::trace);
     spdlog::set_default_logger(logger);
 }
 
+std::uint64_t log_lines_dropped()
+{
+    const auto pool = spdlog::thread_pool();
+    return pool ? pool->overrun_counter() : 0;
+}
+
 void write_log(log_level level, const std::string& event, const nlohmann::json& details)
 {
-    const std::string name = nlohmann::json(event).dump();
-    const auto how = nlohmann::json::error_handler_t::replace;
-    spdlog::log(to_spdlog(level), R"("event":{},"details":{})", name,
-                details.dump(-1, ' ', false, how));
+    const std::uint64_t dropped = log_lines_dropped();
+    // Told once the reader is back: a line into a full queue would drop another.
+    const bool has_room =
+        dropped > told_dropped() && spdlog::thread_pool()->queue_size() < most_waiting;
+    if (has_room) {
+        write_line(log_level::warning, "log-lines-dropped", {{"lines", dropped - told_dropped()}});
+        told_dropped() = dropped;
+    }
+    write_line(level, event, details);
+}
+
+void end_process(int code)
+{
+    const auto pool = spdlog::thread_pool();
+    const auto until = std::chrono::steady_clock::now() + last_lines;
+    while (pool && pool->queue_size() > 0 && std::chrono::steady_clock::now() < until) {
+        std::this_thread::sleep_for(last_lines_step);
+    }
+    std::this_thread::sleep_for(last_lines_step);
+    // The log's thread may hang on its reader; nothing is left that another end would tidy up.
+    std::_Exit(code);
 }
 
 } // namespace fescuedyke
--- a/lib/node/outbound_calls.cpp
+++ b/lib/node/outbound_calls.cpp
@@ -10,6 +10,9 @@
 
 namespace {
 
+/// Answers from this status on say that the target failed.
+constexpr int least_failure_status = 500;
+
 /// Targets' nodes that may refuse one routed call before it is given up.
 constexpr std::size_t most_refusals = 5;
 
@@ -382,10 +385,27 @@
     const bool reached =
         result.kind != outcome_kind::not_run || result.reason == outcome_reason::target_shed;
     call.targets_reached += reached ? 1 : 0;
-    if (result.kind == outcome_kind::answered || !may_retry(call, result, now)) {
+    if (result.kind == outcome_kind::answered) {
+        const bool failed = call.routed && answer.status >= least_failure_status;
+        const outcome as_unknown = outcome::unknown(outcome_reason::connection_lost);
+        if (failed && call.context.idempotent && may_retry_routed(call, as_unknown, now)) {
+            call.failed_answer = answer;
+            call.last_result = as_unknown;
+            send_again(call, at);
+            return;
+        }
+        end(call.id, result, fenced, answer);
+        return;
+    }
+    if (!may_retry(call, result, now)) {
         end(call.id, result, fenced, answer);
         return;
     }
+    send_again(call, at);
+}
+
+void outbound_calls::send_again(outbound_call& call, moment at)
+{
     const bool spent = call.routed || call.allowance.spend();
     assert(spent && "a retry is made only out of the allowance");
     (void)spent;
@@ -419,6 +439,12 @@
     if (result.kind == outcome_kind::not_run && unproven) {
         told = outcome::unknown(result.reason);
     }
+    if (told.kind != outcome_kind::answered && call.failed_answer) {
+        accounts_.on_ended(call.row, outcome::answered());
+        actions_.emplace_back(
+            answer_caller{call.exchange, outcome::answered(), *call.failed_answer});
+        return;
+    }
     accounts_.on_ended(call.row, told);
     actions_.emplace_back(answer_caller{call.exchange, told, answer});
 }
--- a/tools/fescuedyke/main.cpp
+++ b/tools/fescuedyke/main.cpp
@@ -38,9 +38,9 @@
     if (!ended.ok()) {
         fescuedyke::write_log(fescuedyke::log_level::error, "failed",
                               {{"message", std::string(ended.message())}});
-        return exit_failed;
+        fescuedyke::end_process(exit_failed);
     }
-    return 0;
+    fescuedyke::end_process(0);
 }
 
 int run_on_platform(const std::string& role)
@@ -63,9 +63,9 @@
     if (!ended.ok()) {
         fescuedyke::write_log(fescuedyke::log_level::error, "failed",
                               {{"message", std::string(ended.message())}});
-        return exit_failed;
+        fescuedyke::end_process(exit_failed);
     }
-    return 0;
+    fescuedyke::end_process(0);
 }
 
 } // namespace
--- /dev/null
+++ b/unittests/platform/adapter_test.cpp
@@ -0,0 +1,269 @@
+#include "platform/dialect.h"
+#include "platform/document.h"
+#include "platform/report.h"
+#include "platform/settings.h"
+
+#include <gtest/gtest.h>
+
+#include <limits>
+
+namespace fescuedyke::platform {
+namespace {
+
+// Messages of our own making, as the platform would write them.
+
+const std::string good_document = R"({
+  "Version": "0000000c",
+  "Routes": {
+    "Columns": ["Name","Host","Prefix","Kind","Timeout","LatencyTarget","Priority","Service",
+                "Attempts","Split"],
+    "Rows": [["r1","shop.example","/buy/","non_idempotent","6000ms","1500ms",0,"pay",2,null],
+             ["r2","shop.example","/look/","idempotent","2.5s","1s",2,null,3,
+              [{"Service":"shelf","Weight":90},{"Service":"pay","Weight":10}]],
+             ["r3","shop.example","/send/","upload","800ms","500ms",7,"pay",1,null]]},
+  "Services": {"Columns":["Name","HealthPath","MaxConns","Protocol","Tls"],
+               "Rows":[["pay","/healthz",718,"h1",false],["shelf","/healthz",20,"h1",false]]},
+  "Limits": {"MaxHeaderBytes":16384,"MaxBodyBytes":67108864,"HeaderTimeout":"3000ms",
+             "IdleTimeout":"15000ms"}})";
+
+std::string changed(const std::string& from, const std::string& to)
+{
+    std::string text = good_document;
+    const auto at = text.find(from);
+    EXPECT_NE(at, std::string::npos) << from;
+    return text.replace(at, from.size(), to);
+}
+
+TEST(document, is_read_into_routes_services_and_limits)
+{
+    const absl::StatusOr<document> d = parse_document(good_document);
+    ASSERT_TRUE(d.ok()) << d.status();
+    EXPECT_EQ(d->version, 12U);
+    ASSERT_EQ(d->routes.size(), 3U);
+    const route& buy = d->routes[0];
+    EXPECT_FALSE(buy.governing.idempotent);
+    EXPECT_EQ(buy.governing.cls, priority_class::critical);
+    EXPECT_EQ(buy.governing.deadline, millis(6000));
+    EXPECT_EQ(buy.objective, millis(1500));
+    EXPECT_EQ(buy.most_targets, 2);
+    const route& look = d->routes[1];
+    EXPECT_TRUE(look.governing.idempotent);
+    EXPECT_EQ(look.governing.deadline, millis(2500));
+    ASSERT_EQ(look.shares.size(), 2U);
+    EXPECT_EQ(look.shares[0].service.value(), "shelf");
+    EXPECT_DOUBLE_EQ(look.shares[0].weight, 90);
+    EXPECT_FALSE(d->routes[2].governing.idempotent) << "an upload is not repeated";
+    EXPECT_EQ(d->routes[2].governing.cls, priority_class::low);
+    EXPECT_EQ(d->limits.head_bytes, 16384U);
+    EXPECT_EQ(d->limits.idle_time, millis(15'000));
+}
+
+TEST(document, that_is_invalid_in_any_way_is_refused)
+{
+    const std::vector<std::pair<std::string, std::string>> faults = {
+        {"\"pay\",2", "\"unknown\",2"},
+        {"\"Weight\":90},{\"Service\":\"pay\",\"Weight\":10}",
+         "\"Weight\":0},{\"Service\":\"pay\",\"Weight\":0}"},
+        {"\"1500ms\",0", "\"66000ms\",0"},
+        {"\"shop.example\",\"/buy/\"", "\"\",\"/buy/\""},
+        {"\"0000000c\"", "\"c\""},
+        {"\"0000000c\"", "12"},
+        {"\"6000ms\"", "\"6000\""},
+        {"\"6000ms\"", "6000"},
+        {"\"non_idempotent\"", "\"sometimes\""},
+        {"\"Limits\"", "\"Limit\""},
+        {"\"MaxBodyBytes\":67108864", "\"MaxBodyBytes\":\"many\""},
+        {"\"Columns\":[\"Name\",\"HealthPath\"", "\"Columns\":[\"Name\""},
+        {"\"Weight\":90", "\"Weight\":-90"},
+    };
+    for (const auto& [from, to] : faults) {
+        EXPECT_FALSE(parse_document(changed(from, to)).ok()) << from << " -> " << to;
+    }
+}
+
+TEST(document, cut_off_anywhere_is_refused)
+{
+    for (std::size_t size = 0; size < good_document.size(); ++size) {
+        EXPECT_FALSE(parse_document(good_document.substr(0, size)).ok()) << size;
+    }
+}
+
+TEST(report, is_read_and_a_field_of_another_kind_is_refused)
+{
+    const std::string good =
+        R"({"Service":"pay","Address":"10.0.0.9:8080","Zone":"a","Version":"v1","Slots":103,)"
+        R"("State":"draining","ColdLeft":"1.5s","Seq":4,"born":1700000000000})";
+    const absl::StatusOr<target_report> r = parse_report("i-1", good);
+    ASSERT_TRUE(r.ok()) << r.status();
+    EXPECT_EQ(r->identity, "i-1");
+    EXPECT_EQ(r->started, 1700000000000U);
+    EXPECT_EQ(r->sequence, 4U);
+    EXPECT_EQ(r->slots, 103);
+    EXPECT_EQ(r->state, target_state::draining);
+    EXPECT_EQ(r->warm_up, millis(1500));
+    const std::vector<std::pair<std::string, std::string>> faults = {
+        {"103", "\"103\""},
+        {"103", "-1"},
+        {"\"draining\"", "\"x\""},
+        {"\"pay\"", "7"},
+        {"\"10.0.0.9:8080\"", "\"nowhere\""},
+        {"1700000000000", "1.5"},
+        {"1700000000000", "\"1\""},
+        {"\"Seq\":4", "\"Seq\":null"},
+        {"\"Slots\":103,", ""},
+        {"\"1.5s\"", "1.5"},
+    };
+    for (const auto& [from, to] : faults) {
+        std::string text = good;
+        text.replace(text.find(from), from.size(), to);
+        EXPECT_FALSE(parse_report("i-1", text).ok()) << text;
+    }
+    EXPECT_FALSE(parse_report("", good).ok());
+    EXPECT_FALSE(parse_report("i-1", "\xff\xfe").ok());
+    EXPECT_FALSE(parse_report("i-1", "[1]").ok());
+}
+
+TEST(report, of_leaving_may_tell_the_start_it_means)
+{
+    EXPECT_EQ(parse_leave(R"({"born":7})"), 7U);
+    EXPECT_EQ(parse_leave(""), std::numeric_limits<std::uint64_t>::max());
+    EXPECT_EQ(parse_leave(R"({"born":"x"})"), 0U) << "means no start there is";
+}
+
+http_request sample()
+{
+    http_request request;
+    request.method = "POST";
+    request.path = "/a%2fb//c/../d?z=1&a=%20x&z=2&flag";
+    request.headers = {{"Host", "shop.example"},
+                       {"Attempt-Id", "9c41"},
+                       {"Deadline-Ms", "1500"},
+                       {"X-Twice", "1"},
+                       {"X-Twice", "2"},
+                       {"Connection", "keep-alive, X-Hop"},
+                       {"X-Hop", "1"},
+                       {"caller-service", "forged"},
+                       {"Target-Instance", "i-evil"},
+                       {"Transfer-Encoding", "chunked"}};
+    request.body = std::make_shared<const std::string>("body");
+    return request;
+}
+
+TEST(dialect, passes_on_all_but_what_concerns_one_connection_or_is_set_anew)
+{
+    const absl::StatusOr<client_request> read = read_request(sample(), service_name("pay"));
+    ASSERT_TRUE(read.ok());
+    EXPECT_EQ(read->attempt, "9c41");
+    EXPECT_EQ(read->host, "shop.example");
+    EXPECT_EQ(*read->time_left, millis(1500));
+    EXPECT_EQ(read->request.path, "/a%2fb//c/../d?z=1&a=%20x&z=2&flag");
+    std::vector<std::string> kept;
+    for (const header& h : read->request.headers) {
+        kept.push_back(h.name + "=" + h.value);
+    }
+    const std::vector<std::string> expected = {"Host=shop.example", "Attempt-Id=9c41", "X-Twice=1",
+                                               "X-Twice=2", "Caller-Service=pay"};
+    EXPECT_EQ(kept, expected);
+}
+
+TEST(dialect, a_request_without_a_name_or_with_a_wait_that_is_no_number_is_refused)
+{
+    for (const char* name : {"Attempt-Id", "Host"}) {
+        http_request request = sample();
+        for (header& h : request.headers) {
+            h.name = h.name == name ? "X-Other" : h.name;
+        }
+        EXPECT_FALSE(read_request(request, service_name("pay")).ok()) << name;
+    }
+    http_request request = sample();
+    request.headers[2].value = "soon";
+    EXPECT_FALSE(read_request(request, service_name("pay")).ok());
+}
+
+TEST(dialect, only_what_did_not_run_is_answered_with_a_promise)
+{
+    const dialect d;
+    constexpr int promise = 503;
+    const http_answer refused = d.to_caller(outcome::not_run(outcome_reason::overloaded), {});
+    EXPECT_EQ(refused.status, promise);
+    ASSERT_NE(find_header(refused.headers, "Retry-After"), nullptr);
+    EXPECT_EQ(*find_header(refused.headers, "Retry-After"), "0.200");
+    for (std::size_t i = 0; i < outcome_reason_count; ++i) {
+        const auto reason = static_cast<outcome_reason>(i);
+        const int status = d.to_caller(outcome::unknown(reason), {}).status;
+        EXPECT_TRUE(status == 502 || status == 504) << to_string(reason) << " " << status;
+    }
+}
+
+TEST(dialect, a_target_is_told_whose_call_it_is_and_how_long_it_has)
+{
+    const dialect d;
+    dispatch_call call;
+    call.request = std::make_shared<http_request>(sample());
+    call.target = "i-1";
+    call.time_left = millis(700);
+    const target_request r = d.to_target(call);
+    EXPECT_EQ(*find_header(r.extra_headers, "Deadline-Ms"), "700");
+    EXPECT_EQ(*find_header(r.extra_headers, "Target-Instance"), "i-1");
+    ASSERT_TRUE(r.echoed.has_value());
+    EXPECT_EQ(r.echoed->value, "9c41");
+    http_answer answer;
+    answer.status = 503;
+    EXPECT_FALSE(d.says_not_run(answer));
+    answer.headers = {{"not-executed", "1"}};
+    EXPECT_TRUE(d.says_not_run(answer));
+}
+
+const std::string node_settings_text = R"(
+Self:
+  NodeName: "side-a-1"
+  Ip: "10.1.0.8"
+  Zone: "a"
+  Region: "north"
+  Bootstrap: true
+  DataDir: null
+  AppAddr: "10.1.0.8:8301"
+  Service: "pay"
+  Unknown: {x: 1}
+Network:
+  Listen:
+    Inbound: "10.1.0.8:8300"
+    Outbound: "10.1.0.8:8304"
+    Ready: "10.1.0.8:8302"
+    Control: "10.1.0.8:8306"
+  PortRange: [7620, 7635]
+  Seeds: ["10.1.0.12:8306", "10.2.0.10:8306"]
+Terms:
+  Tolerate: {Machines: 2, Zones: 0, Regions: 0}
+  Bounds: {Grace: "4.5s"}
+)";
+
+TEST(settings, are_read_into_the_products_own)
+{
+    const absl::StatusOr<settings> s = parse_settings(node_settings_text);
+    ASSERT_TRUE(s.ok()) << s.status();
+    EXPECT_EQ(s->service.value(), "pay");
+    EXPECT_EQ(s->callers.port, 8304);
+    EXPECT_EQ(s->process.peer.port, 7620);
+    EXPECT_EQ(s->grace, millis(4500));
+    EXPECT_TRUE(s->process.first_start);
+    EXPECT_EQ(s->process.voters, 5U);
+    ASSERT_EQ(s->process.members.size(), 2U);
+    EXPECT_EQ(s->process.members[1].name, "10.2.0.10");
+    EXPECT_EQ(s->process.members[1].control.port, 7620);
+    EXPECT_EQ(s->process.members[1].api.port, 8306);
+}
+
+TEST(settings, that_lack_an_address_or_are_no_yaml_are_refused)
+{
+    std::string text = node_settings_text;
+    text.replace(text.find("Ready:"), 6, "Other:");
+    EXPECT_FALSE(parse_settings(text).ok());
+    EXPECT_FALSE(parse_settings("{").ok());
+    EXPECT_FALSE(parse_settings("").ok());
+    EXPECT_FALSE(parse_settings("- 1").ok());
+    EXPECT_FALSE(parse_settings("Self: 1\nNetwork: 2\n").ok());
+}
+
+} // namespace
+} // namespace fescuedyke::platform
--- /dev/null
+++ b/unittests/routes/route_table_test.cpp
@@ -0,0 +1,79 @@
+#include "fescuedyke/routes/route_table.h"
+
+#include <gtest/gtest.h>
+#include <rapidcheck/gtest.h>
+
+#include <cmath>
+
+namespace fescuedyke {
+namespace {
+
+route make(const std::string& name, const std::string& host, const std::string& prefix)
+{
+    route r;
+    r.name = name;
+    r.host = host;
+    r.prefix = prefix;
+    r.governing.deadline = millis(1000);
+    r.objective = millis(500);
+    r.shares.push_back({service_name("s"), 1});
+    return r;
+}
+
+TEST(route_table, the_longest_prefix_of_the_host_wins)
+{
+    const route_table table({make("short", "a.example", "/x/"), make("long", "a.example", "/x/y/"),
+                             make("other", "b.example", "/x/y/z/")});
+    EXPECT_EQ(table.find("a.example", "/x/y/z/q")->name, "long");
+    EXPECT_EQ(table.find("A.Example:8080", "/x/q?/x/y/")->name, "short");
+    EXPECT_EQ(table.find("a.example", "/x"), nullptr);
+    EXPECT_EQ(table.find("c.example", "/x/y/"), nullptr);
+}
+
+TEST(route_table, what_cannot_be_put_in_force_is_named)
+{
+    const std::vector<service_name> services = {service_name("s")};
+    EXPECT_TRUE(check_routes({make("r", "h", "/p/")}, services).ok());
+    EXPECT_FALSE(check_routes({make("r", "", "/p/")}, services).ok());
+    EXPECT_FALSE(check_routes({make("r", "h", "/p")}, services).ok());
+    EXPECT_FALSE(check_routes({make("r", "h", "/p/")}, {service_name("t")}).ok());
+    route weightless = make("r", "h", "/p/");
+    weightless.shares = {{service_name("s"), 0}, {service_name("s"), 0}};
+    EXPECT_FALSE(check_routes({weightless}, services).ok());
+    route slow = make("r", "h", "/p/");
+    slow.objective = millis(61'000);
+    EXPECT_FALSE(check_routes({slow}, services).ok());
+    slow.objective = millis(60'999);
+    EXPECT_TRUE(check_routes({slow}, services).ok());
+}
+
+RC_GTEST_PROP(share_picker, shares_stay_close_to_their_weights_at_any_time,
+              (std::uint16_t a, std::uint16_t b, std::uint16_t c))
+{
+    RC_PRE(a + b + c > 0);
+    route r = make("r", "h", "/p/");
+    const std::vector<double> weights = {double(a), double(b), double(c)};
+    r.shares.clear();
+    for (std::size_t i = 0; i < weights.size(); ++i) {
+        r.shares.push_back({service_name("s" + std::to_string(i)), weights[i]});
+    }
+    random_source random(*rc::gen::inRange<std::uint64_t>(1, 1'000'000));
+    share_picker picker(random);
+    std::map<std::string, int> picked;
+    constexpr int requests = 400;
+    constexpr double allowed = 0.05;
+    for (int n = 1; n <= requests; ++n) {
+        ++picked[picker.pick(r).value()];
+        if (n < 100) {
+            continue;
+        }
+        for (std::size_t i = 0; i < weights.size(); ++i) {
+            const double share = weights[i] / (double(a) + double(b) + double(c));
+            const double seen = double(picked["s" + std::to_string(i)]) / n;
+            RC_ASSERT(std::abs(seen - share) < allowed);
+        }
+    }
+}
+
+} // namespace
+} // namespace fescuedyke
