--- a/include/fescuedyke/transport/event_loop.h
+++ b/include/fescuedyke/transport/event_loop.h
@@ -42,6 +42,9 @@
     void post(task work);
     void stop();
 
+    /// Lets run() be called again after a stop.
+    void resume() { stopped_ = false; }
+
     /// Calls \p handler whenever one of the epoll \p events is there; replaces what was watched.
     void watch(int fd, std::uint32_t events, socket_handler handler);
     /// Changes the events of a socket that is watched.
--- /dev/null
+++ b/unittests/transport/http_test.cpp
@@ -0,0 +1,419 @@
+#include "fescuedyke/transport/http_server.h"
+#include "fescuedyke/transport/target_client.h"
+
+#include <gtest/gtest.h>
+
+#include <arpa/inet.h>
+#include <array>
+#include <deque>
+#include <netinet/in.h>
+#include <sys/socket.h>
+#include <thread>
+#include <unistd.h>
+
+namespace fescuedyke {
+namespace {
+
+/// More than any wait of these tests; reached only when an answer never comes.
+constexpr timeval patience{20, 0};
+
+/// A blocking socket, as a client or a target uses one.
+class raw_socket {
+public:
+    explicit raw_socket(int fd) : fd_(fd)
+    {
+        ::setsockopt(fd_, SOL_SOCKET, SO_RCVTIMEO, &patience, sizeof patience);
+    }
+    raw_socket(raw_socket&& other) noexcept : fd_(std::exchange(other.fd_, -1)) {}
+    ~raw_socket() { close(); }
+
+    static raw_socket connect(std::uint16_t port)
+    {
+        const int fd = ::socket(AF_INET, SOCK_STREAM, 0);
+        sockaddr_in a{};
+        a.sin_family = AF_INET;
+        a.sin_port = htons(port);
+        ::inet_pton(AF_INET, "127.0.0.1", &a.sin_addr);
+        EXPECT_EQ(::connect(fd, reinterpret_cast<sockaddr*>(&a), sizeof a), 0);
+        return raw_socket(fd);
+    }
+
+    void send(const std::string& bytes) const
+    {
+        EXPECT_EQ(::send(fd_, bytes.data(), bytes.size(), MSG_NOSIGNAL),
+                  static_cast<ssize_t>(bytes.size()));
+    }
+
+    /// Reads until \p mark has come or the other side has closed.
+    std::string read_until(const std::string& mark)
+    {
+        std::array<char, 4096> part{};
+        while (read_.find(mark) == std::string::npos) {
+            const ssize_t got = ::recv(fd_, part.data(), part.size(), 0);
+            if (got <= 0) {
+                break;
+            }
+            read_.append(part.data(), static_cast<std::size_t>(got));
+        }
+        return std::exchange(read_, "");
+    }
+
+    std::string read_to_end() { return read_until("\x01never\x01"); }
+
+    void close()
+    {
+        if (fd_ >= 0) {
+            ::close(fd_);
+            fd_ = -1;
+        }
+    }
+
+    /// Breaks the connection off with a reset.
+    void reset()
+    {
+        const linger at_once{1, 0};
+        ::setsockopt(fd_, SOL_SOCKET, SO_LINGER, &at_once, sizeof at_once);
+        close();
+    }
+
+private:
+    int fd_;
+    std::string read_;
+};
+
+http_answer text_answer(const std::string& text)
+{
+    http_answer answer;
+    answer.status = 200;
+    answer.body = std::make_shared<const std::string>(text);
+    return answer;
+}
+
+class http_server_test : public testing::Test {
+protected:
+    static constexpr std::uint16_t port = 27321;
+
+    http_server_test()
+    {
+        http_limits limits;
+        limits.head_bytes = 1024;
+        limits.body_bytes = 100'000;
+        limits.head_time = millis(300);
+        server_ = std::make_unique<http_server>(
+            loop_, limits,
+            http_server::handlers{[this](exchange_id e, http_request r) { on_request(e, r); },
+                                  [this](exchange_id) { ++gone_; }});
+        EXPECT_TRUE(server_->listen({"127.0.0.1", port}).ok());
+        thread_ = std::thread([this] { loop_.run(); });
+    }
+
+    ~http_server_test() override
+    {
+        loop_.stop();
+        thread_.join();
+    }
+
+    /// Answers with what came in; `/late` is answered after the request behind it.
+    void on_request(exchange_id e, const http_request& r)
+    {
+        std::string text = r.method + " " + r.path + "|";
+        for (const header& h : r.headers) {
+            text += h.name + "=" + h.value + "|";
+        }
+        text += *r.body;
+        if (r.path == "/late") {
+            late_.emplace_back(e, text);
+            return;
+        }
+        if (r.path == "/never") {
+            return;
+        }
+        server_->answer(e, text_answer(text));
+        for (const auto& [late, answer] : std::exchange(late_, {})) {
+            server_->answer(late, text_answer(answer));
+        }
+    }
+
+    system_clock clock_;
+    event_loop loop_{clock_};
+    std::unique_ptr<http_server> server_;
+    std::deque<std::pair<exchange_id, std::string>> late_;
+    std::atomic<int> gone_{0};
+    std::thread thread_;
+};
+
+TEST_F(http_server_test, answers_requests_that_come_together_in_their_order)
+{
+    raw_socket c = raw_socket::connect(port);
+    c.send("GET /late HTTP/1.1\r\nHost: a\r\n\r\nGET /two HTTP/1.1\r\nHost: a\r\n\r\n");
+    const std::string got = c.read_until("GET /two");
+    EXPECT_LT(got.find("GET /late|"), got.find("GET /two|"));
+}
+
+TEST_F(http_server_test, keeps_path_query_method_and_repeated_headers)
+{
+    raw_socket c = raw_socket::connect(port);
+    c.send(
+        "BREW /a%2fb//c/../d?z=1&a=%20x&z=2&flag HTTP/1.1\r\nHost: a\r\nX-T: 1\r\nX-T: 2\r\n\r\n");
+    const std::string got = c.read_until("X-T=2|");
+    EXPECT_NE(got.find("BREW /a%2fb//c/../d?z=1&a=%20x&z=2&flag|"), std::string::npos) << got;
+    EXPECT_NE(got.find("X-T=1|X-T=2|"), std::string::npos) << got;
+}
+
+TEST_F(http_server_test, takes_bodies_in_chunks_and_in_small_pieces)
+{
+    raw_socket c = raw_socket::connect(port);
+    const std::string request = "POST /x HTTP/1.1\r\nHost: a\r\nTransfer-Encoding: chunked\r\n\r\n"
+                                "5\r\nhello\r\n6\r\n world\r\n0\r\n\r\n";
+    for (const char byte : request) {
+        c.send(std::string(1, byte));
+    }
+    EXPECT_NE(c.read_until("hello world").find("hello world"), std::string::npos);
+}
+
+TEST_F(http_server_test, says_clearly_what_it_does_not_take)
+{
+    const std::vector<std::pair<std::string, std::string>> cases = {
+        {"\x16\x03\x01 no request\r\n\r\n", "400"},
+        {"GET / HTTP/1.1\r\nX: " + std::string(2000, 'x') + "\r\n\r\n", "431"},
+        {"POST / HTTP/1.1\r\nContent-Length: 100001\r\n\r\n", "413"},
+        {"POST / HTTP/1.1\r\nContent-Length: 3\r\nTransfer-Encoding: chunked\r\n\r\nabc", "400"},
+        {"GET /slow HTTP/1.1\r\nHos", "408"},
+    };
+    for (const auto& [bytes, status] : cases) {
+        raw_socket c = raw_socket::connect(port);
+        c.send(bytes);
+        const std::string got = c.read_to_end();
+        EXPECT_EQ(got.substr(0, 12), "HTTP/1.1 " + status) << bytes.substr(0, 40);
+        EXPECT_NE(got.find("close"), std::string::npos);
+    }
+}
+
+TEST_F(http_server_test, notices_a_caller_that_leaves)
+{
+    raw_socket c = raw_socket::connect(port);
+    c.send("GET /never HTTP/1.1\r\nHost: a\r\n\r\nGET /never HTTP/1.1\r\nHost: a\r\n\r\n");
+    raw_socket other = raw_socket::connect(port);
+    other.send("GET /x HTTP/1.1\r\nHost: a\r\n\r\n");
+    other.read_until("GET /x");
+    c.reset();
+    for (int i = 0; i < 2000 && gone_ < 2; ++i) {
+        std::this_thread::sleep_for(std::chrono::milliseconds(10));
+    }
+    EXPECT_EQ(gone_, 2);
+}
+
+/// Plays a target on one listening socket: each connection is handled by the next script.
+class target_client_test : public testing::Test {
+protected:
+    static constexpr std::uint16_t port = 27331;
+    using script = std::function<void(raw_socket&)>;
+
+    void play(std::vector<script> scripts)
+    {
+        int fd = -1;
+        ASSERT_TRUE(listen_on({"127.0.0.1", port}, fd).ok());
+        thread_ = std::thread([fd, scripts = std::move(scripts)] {
+            for (const script& s : scripts) {
+                int taken = -1;
+                while ((taken = ::accept(fd, nullptr, nullptr)) < 0) {
+                    std::this_thread::sleep_for(std::chrono::milliseconds(1));
+                }
+                raw_socket c(taken);
+                s(c);
+            }
+            ::close(fd);
+        });
+    }
+
+    ~target_client_test() override
+    {
+        if (thread_.joinable()) {
+            thread_.join();
+        }
+    }
+
+    target_result send(const std::string& id, bool may_repeat = false, std::size_t body_bytes = 0)
+    {
+        auto request = std::make_shared<http_request>();
+        request->method = body_bytes > 0 ? "POST" : "GET";
+        request->path = "/x";
+        request->headers = {{"Host", "t"}, {"Id", id}};
+        request->body = std::make_shared<const std::string>(body_bytes, 'b');
+        target_request r;
+        r.address = {"127.0.0.1", port};
+        r.request = request;
+        r.may_repeat = may_repeat;
+        r.echoed = header{"Id", id};
+        target_result result = target_failure::lost;
+        event_loop& loop = *loop_;
+        client_->send(++next_, r, [&](target_result got) {
+            result = std::move(got);
+            loop.post([&loop] { loop.stop(); });
+        });
+        loop_->run();
+        restart_loop();
+        return result;
+    }
+
+    /// A stopped loop does not run again; connections stay with the client's loop.
+    void restart_loop() { loop_->resume(); }
+
+    static std::string answer(const std::string& id, const std::string& body,
+                              const std::string& more = "")
+    {
+        return "HTTP/1.1 200 OK\r\nId: " + id + "\r\n" + more +
+               "Content-Length: " + std::to_string(body.size()) + "\r\n\r\n" + body;
+    }
+
+    static void expect_body(const target_result& r, const std::string& body)
+    {
+        const auto* a = std::get_if<http_answer>(&r);
+        ASSERT_NE(a, nullptr);
+        EXPECT_EQ(*a->body, body);
+    }
+
+    static void expect_failure(const target_result& r, target_failure f)
+    {
+        const auto* failure = std::get_if<target_failure>(&r);
+        ASSERT_NE(failure, nullptr);
+        EXPECT_EQ(*failure, f);
+    }
+
+    system_clock clock_;
+    std::unique_ptr<event_loop> loop_ = std::make_unique<event_loop>(clock_);
+    std::unique_ptr<target_client> client_ = std::make_unique<target_client>(*loop_);
+    std::uint64_t next_ = 0;
+    std::thread thread_;
+};
+
+TEST_F(target_client_test, an_answer_to_another_request_is_passed_over)
+{
+    play({[](raw_socket& c) {
+        c.read_until("\r\n\r\n");
+        c.send(answer("old", "late") + answer("1", "mine"));
+    }});
+    expect_body(send("1"), "mine");
+}
+
+TEST_F(target_client_test, bytes_after_a_complete_answer_belong_to_no_request)
+{
+    play({[](raw_socket& c) {
+              c.read_until("\r\n\r\n");
+              c.send(answer("1", "one") + answer("1", "again"));
+              c.read_to_end();
+          },
+          [](raw_socket& c) {
+              c.read_until("\r\n\r\n");
+              c.send(answer("2", "two"));
+              c.read_to_end();
+          }});
+    expect_body(send("1"), "one");
+    expect_body(send("2"), "two");
+    client_->close_idle();
+}
+
+TEST_F(target_client_test, an_answer_that_is_cut_off_is_no_answer)
+{
+    play({[](raw_socket& c) {
+              c.read_until("\r\n\r\n");
+              c.send("HTTP/1.1 200 OK\r\nId: 1\r\nContent-Length: 10\r\n\r\nhalf");
+          },
+          [](raw_socket& c) {
+              c.read_until("\r\n\r\n");
+              c.send("HTTP/1.1 200 OK\r\nId: 2\r\n\r\nno length, reset");
+              std::this_thread::sleep_for(std::chrono::milliseconds(50));
+              c.reset();
+          },
+          [](raw_socket& c) {
+              c.read_until("\r\n\r\n");
+              c.send("HTTP/1.1 200 OK\r\nId: 3\r\n\r\nno length, ended");
+          },
+          [](raw_socket& c) {
+              c.read_until("\r\n\r\n");
+              c.send("garbage that is no answer\r\n\r\n");
+          },
+          [](raw_socket& c) {
+              c.read_until("\r\n\r\n");
+              c.send(answer("other", "not mine"));
+          }});
+    expect_failure(send("1"), target_failure::truncated);
+    expect_failure(send("2"), target_failure::truncated);
+    expect_body(send("3"), "no length, ended");
+    expect_failure(send("4"), target_failure::truncated);
+    expect_failure(send("5"), target_failure::lost);
+}
+
+TEST_F(target_client_test, an_answer_before_the_whole_request_is_taken_and_the_rest_is_sent)
+{
+    constexpr std::size_t body = 8U << 20U;
+    std::atomic<std::size_t> read{0};
+    play({[&](raw_socket& c) {
+        // The first part of the body may come with the head.
+        const std::string head = c.read_until("\r\n\r\n");
+        read = head.size() - head.find("\r\n\r\n") - 4;
+        c.send(answer("1", "early", "Connection: keep-alive\r\n"));
+        while (read < body) {
+            const std::string more = c.read_until("b");
+            if (more.empty()) {
+                break;
+            }
+            read += static_cast<std::size_t>(std::count(more.begin(), more.end(), 'b'));
+        }
+        c.read_until("\r\n\r\n");
+        c.send(answer("2", "next"));
+        c.read_to_end();
+    }});
+    expect_body(send("1", false, body), "early");
+    // The connection serves again only when the target has read the rest.
+    for (int i = 0; i < 100 && read < body; ++i) {
+        loop_->after(millis(20), [this] { loop_->stop(); });
+        loop_->run();
+        restart_loop();
+    }
+    expect_body(send("2"), "next");
+    client_->close_idle();
+}
+
+TEST_F(target_client_test, an_unrepeatable_request_is_sent_once_when_its_kept_connection_dies)
+{
+    std::atomic<int> requests{0};
+    play({[&](raw_socket& c) {
+        c.read_until("\r\n\r\n");
+        c.send(answer("1", "one"));
+        if (!c.read_until("\r\n\r\n").empty()) {
+            ++requests;
+        }
+        c.reset();
+    }});
+    expect_body(send("1"), "one");
+    expect_failure(send("2", false), target_failure::lost);
+    thread_.join();
+    EXPECT_EQ(requests, 1);
+}
+
+TEST_F(target_client_test, a_repeatable_request_is_sent_again_when_its_kept_connection_dies)
+{
+    play({[](raw_socket& c) {
+              c.read_until("\r\n\r\n");
+              c.send(answer("1", "one"));
+              c.read_until("\r\n\r\n");
+              c.reset();
+          },
+          [](raw_socket& c) {
+              c.read_until("\r\n\r\n");
+              c.send(answer("2", "two"));
+              c.read_to_end();
+          }});
+    expect_body(send("1"), "one");
+    expect_body(send("2", true), "two");
+    client_->close_idle();
+}
+
+TEST_F(target_client_test, what_could_not_be_sent_was_never_sent)
+{
+    expect_failure(send("1"), target_failure::never_sent);
+}
+
+} // namespace
+} // namespace fescuedyke
