Explain a request out of the logs of several processes

Change: fescuedykectl explain ID [LOG...] prints what was decided on a request, in order, and what its instances went by when it came; torn and foreign lines are counted and passed over.

--- a/lib/operator/commands.cpp
+++ b/lib/operator/commands.cpp
@@ -2,6 +2,7 @@
 
 #include "fescuedyke/operator/account_merge.h"
 #include "fescuedyke/operator/member_client.h"
+#include "fescuedyke/operator/request_trace.h"
 
 #include <boost/program_options.hpp>
 #include <curl/curl.h>
@@ -39,7 +40,8 @@
     "  targets                list the targets that announced themselves\n"
     "  progress               show how far each region has the configuration in force\n"
     "  state ADDRESS          dump the state of one process\n"
-    "  account OWNER          explain an owner's account (--from MS, --to MS)\n\n"
+    "  account OWNER          explain an owner's account (--from MS, --to MS)\n"
+    "  explain ID [LOG...]    print one request's path out of logs, or out of standard input\n\n"
     "Exit codes: 0 done, 1 refused, 2 usage, 3 conflict, 4 no answer or outcome unknown,\n"
     "5 durable but not yet in force everywhere\n";
 
@@ -374,6 +376,28 @@
 
 } // namespace
 
+namespace {
+
+/// Explains a request out of the logs that the command line names.
+int explain(const command_line& line)
+{
+    request_trace trace(line.word(1));
+    for (std::size_t i = 2; i < line.words.size(); ++i) {
+        std::ifstream file(line.words[i]);
+        if (!file) {
+            std::cerr << line.words[i] << ": cannot be read\n";
+            return code(exit_code::usage);
+        }
+        trace.read(file);
+    }
+    if (line.words.size() == 2) {
+        trace.read(std::cin);
+    }
+    return code(print_trace(trace, line.as_json, std::cout) ? exit_code::ok : exit_code::refused);
+}
+
+} // namespace
+
 int run_operator_command(int argc, char** argv)
 {
     command_line line;
@@ -417,6 +441,9 @@
     }
     line.members = split_list(members);
     line.based_on_given = given.count("based-on") != 0;
+    if (line.word(0) == "explain" && line.words.size() > 1) {
+        return explain(line);
+    }
     curl_global_init(CURL_GLOBAL_DEFAULT);
     return commands(line).run();
 }
