--- a/lib/daemon/outcome_http.cpp
+++ b/lib/daemon/outcome_http.cpp
@@ -11,6 +11,9 @@
 
 namespace {
 
+/// Names a request for the logs when it has no key.
+constexpr const char* request_id_header = "x-request-id";
+
 constexpr int bad_request_status = 400;
 constexpr int too_large_status = 413;
 constexpr int bad_gateway_status = 502;
@@ -84,7 +87,8 @@
 std::string own_dialect::request_id(const http_request& request) const
 {
     const std::string* key = find_header(request.headers, key_header);
-    return key != nullptr ? *key : "";
+    const std::string* id = find_header(request.headers, request_id_header);
+    return key != nullptr ? *key : id != nullptr ? *id : "";
 }
 
 bool own_dialect::says_not_run(const http_answer& answer) const
