--- a/lib/operator/request_trace.cpp
+++ b/lib/operator/request_trace.cpp
@@ -97,6 +97,7 @@
         }
     }
     std::vector<json> result;
+    result.reserve(latest.size());
     for (const auto& [key, line] : latest) {
         result.push_back(line);
     }
