Tell the sum of dropped log lines, so that a dropped notice loses nothing

Cause: the test of the stopped reader failed beside load. A notice on dropped lines can be dropped itself while the queue is full; its number was then lost, since each told only what was new.

--- a/include/fescuedyke/logging/json_log.h
+++ b/include/fescuedyke/logging/json_log.h
@@ -19,7 +19,7 @@
 void start_log(const std::string& instance, const std::string& least_level);
 
 /// Writes one line with what happened and its details, an object. Says first how many lines were
-/// dropped since the last time.
+/// dropped since the start, if more were than was last said.
 void write_log(log_level level, const std::string& event, const nlohmann::json& details);
 
 /// Lines dropped since the start.
--- a/lib/logging/json_log.cpp
+++ b/lib/logging/json_log.cpp
@@ -77,7 +77,8 @@
     const bool has_room =
         dropped > told_dropped() && spdlog::thread_pool()->queue_size() < most_waiting;
     if (has_room) {
-        write_line(log_level::warning, "log-lines-dropped", {{"lines", dropped - told_dropped()}});
+        // The sum, since a line that tells of others may be dropped as well.
+        write_line(log_level::warning, "log-lines-dropped", {{"lines_in_all", dropped}});
         told_dropped() = dropped;
     }
     write_line(level, event, details);
