Send again by itself only what met a connection that was dead before

Change: a kept connection counts as given up before only when it dies within 30 ms of the request's begin; later deaths are failures that the node's retry rules decide on. Test: a target that works for 300 ms and resets; it got the request twice before, now once.

--- a/lib/transport/target_client.cpp
+++ b/lib/transport/target_client.cpp
@@ -21,6 +21,11 @@
 /// Kept connections are given up this long before the target closes them.
 constexpr millis idle_margin{700};
 
+/// A kept connection that dies within this time of a request's begin had been given up by the
+/// target before; later, the target may have worked on the request, and sending it again is a retry
+/// that others decide on.
+constexpr millis stale_within{30};
+
 /// Unrepeatable requests use a kept connection only when it was in use so lately.
 constexpr millis lately{1000};
 
@@ -53,6 +58,7 @@
     void begin(std::uint64_t id, const target_request& request, callback done)
     {
         id_ = id;
+        began_ = owner_.loop_.now().now;
         request_ = request;
         done_ = std::move(done);
         progress_ = false;
@@ -234,7 +240,9 @@
         const callback done = std::exchange(done_, nullptr);
         const std::uint64_t id = id_;
         const target_request request = request_;
-        const bool stale = used_before() && !reader_.head_seen() && failure == target_failure::lost;
+        const bool at_once = owner_.loop_.now().now - began_ <= stale_within;
+        const bool stale =
+            used_before() && at_once && !reader_.head_seen() && failure == target_failure::lost;
         close();
         if (!done) {
             return;
@@ -285,6 +293,7 @@
     bool progress_ = false;
     bool answered_ = false;
     bool reusable_ = true;
+    instant began_;
     instant idle_until_;
     instant last_used_;
 };
--- a/unittests/transport/http_test.cpp
+++ b/unittests/transport/http_test.cpp
@@ -430,6 +430,23 @@
     client_->close_idle();
 }
 
+TEST_F(target_client_test, a_request_that_its_target_worked_on_is_not_sent_again_by_itself)
+{
+    std::atomic<int> requests{0};
+    play({[&](raw_socket& c) {
+        c.read_until("\r\n\r\n");
+        c.send(answer("1", "one"));
+        requests += c.read_until("\r\n\r\n").empty() ? 0 : 1;
+        // Work, and a crash before the answer.
+        std::this_thread::sleep_for(std::chrono::milliseconds(300));
+        c.reset();
+    }});
+    expect_body(send("1"), "one");
+    expect_failure(send("2", true), target_failure::lost);
+    thread_.join();
+    EXPECT_EQ(requests, 1);
+}
+
 TEST_F(target_client_test, what_could_not_be_sent_was_never_sent)
 {
     expect_failure(send("1"), target_failure::never_sent);
