Let a member that starts with a log stand early the first time

Change: the first time-out after a start with a log is drawn from 1 to 400 ms; a leader that is there makes the pre-vote fail, so that nothing is disturbed.

--- a/include/fescuedyke/consensus/raft_core.h
+++ b/include/fescuedyke/consensus/raft_core.h
@@ -24,6 +24,9 @@
     millis heartbeat{100};
     /// Elections start after between one and two of these without a leader.
     millis election_timeout{600};
+    /// A member that starts with a log and hears no leader stands within so long the first time; one
+    /// that is wrong about it is only refused its pre-vote.
+    millis first_election{400};
     std::size_t max_entries_per_append = 64;
     std::size_t snapshot_chunk_bytes = 256U << 10U;
     /// Silence after which the leader replaces a member whose instance came back with another disk.
@@ -159,6 +162,7 @@
     void become_leader(instant now);
     void tick_leader(instant now);
     void reset_election_timer(instant now);
+    void set_first_timer(instant now);
     bool may_grant(const member_id& from, const vote_request& m, instant now) const;
     bool log_is_as_new(const vote_request& m) const;
     bool won() const;
--- a/lib/consensus/raft_core.cpp
+++ b/lib/consensus/raft_core.cpp
@@ -38,10 +38,20 @@
     timer_set_ = true;
 }
 
+void raft_core::set_first_timer(instant now)
+{
+    reset_election_timer(now);
+    if (!log_.empty()) {
+        // Spread over the whole time, so that few stand at once.
+        const auto range = static_cast<std::uint64_t>(settings_.first_election.count());
+        election_due_ = now + millis(1 + static_cast<std::int64_t>(draw_below(random_, range)));
+    }
+}
+
 void raft_core::tick(instant now)
 {
     if (!timer_set_) {
-        reset_election_timer(now);
+        set_first_timer(now);
     }
     if (role_ == raft_role::leader) {
         tick_leader(now);
--- a/unittests/control/group_growth_test.cpp
+++ b/unittests/control/group_growth_test.cpp
@@ -159,6 +159,29 @@
     EXPECT_EQ(c.violation(), "");
 }
 
+TEST(group_growth, a_group_that_was_killed_whole_leads_again_within_an_election_time_out)
+{
+    int late = 0;
+    constexpr int groups = 20;
+    for (int i = 0; i < groups; ++i) {
+        control_cluster c(3, 100 + static_cast<std::uint64_t>(i), growing());
+        found_five(c);
+        for (const std::string& name : c.names()) {
+            c.crash(name);
+        }
+        c.run_for(millis(1000));
+        for (const std::string& name : c.names()) {
+            ASSERT_TRUE(c.start(name).ok());
+        }
+        const bool led =
+            c.run_until(growing().raft.election_timeout, [&] { return c.leader().has_value(); });
+        late += led ? 0 : 1;
+        EXPECT_EQ(c.violation(), "");
+    }
+    // Votes may be split now and then.
+    EXPECT_LE(late, groups / 4);
+}
+
 TEST(group_growth, members_without_a_disk_never_found_a_second_group)
 {
     control_cluster c(3, 15, growing());
