--- a/include/fescuedyke/consensus/raft_core.h
+++ b/include/fescuedyke/consensus/raft_core.h
@@ -24,8 +24,8 @@
     millis heartbeat{100};
     /// Elections start after between one and two of these without a leader.
     millis election_timeout{600};
-    /// A member that starts with a log and hears no leader stands within so long the first time; one
-    /// that is wrong about it is only refused its pre-vote.
+    /// A member that starts with a log and hears no leader stands within so long the first time;
+    /// one that is wrong about it is only refused its pre-vote.
     millis first_election{400};
     std::size_t max_entries_per_append = 64;
     std::size_t snapshot_chunk_bytes = 256U << 10U;
