--- a/bench/cluster/cluster.h
+++ b/bench/cluster/cluster.h
@@ -47,6 +47,11 @@
     const std::map<std::uint64_t, answer_change>& answers() const { return answers_; }
     void poll(const std::string& at, const node_poll& poll,
               const std::function<void(const poll_reply&)>& done);
+    /// A node's account comes in at one member.
+    void report(const std::string& at, const account_report& report)
+    {
+        handle(at, account_report_received{report});
+    }
 
     /// Adds an instance that knows only \p seeds; \p founding tells whether this is the first start
     /// of the whole system.
--- a/include/fescuedyke/control/control_core.h
+++ b/include/fescuedyke/control/control_core.h
@@ -171,6 +171,10 @@
     /// refuses writes.
     const absl::Status& disk() const { return disk_; }
 
+    /// Returns why reports of accounts could not be written the last time. They are kept in memory
+    /// and tried again; the member takes part all the same.
+    const absl::Status& accounts_written() const { return accounts_written_; }
+
     const raft_core& raft() const { return raft_; }
     const control_state& state() const { return state_; }
     const lease_table& leases() const { return leases_; }
@@ -242,7 +246,7 @@
     std::optional<log_index> pending_owner_change_;
     log_index applied_;
     log_index own_first_entry_;
-    bool accounts_ok_ = true;
+    absl::Status accounts_written_;
     bool led_ = false;
     bool stopping_ = false;
     instant last_sync_;
--- a/include/fescuedyke/daemon/control_runtime.h
+++ b/include/fescuedyke/daemon/control_runtime.h
@@ -2,6 +2,7 @@
 #define FESCUEDYKE_DAEMON_CONTROL_RUNTIME_H
 
 #include "fescuedyke/control/control_core.h"
+#include "fescuedyke/logging/dependency_log.h"
 #include "fescuedyke/settings/process_settings.h"
 #include "fescuedyke/storage/posix_file_system.h"
 #include "fescuedyke/subscription/config_subscriber.h"
@@ -96,7 +97,8 @@
     std::uint64_t next_change_ = 1;
     account_report last_account_;
     stored_member found_;
-    bool disk_reported_ = false;
+    dependency_log disk_log_{"member-disk"};
+    dependency_log accounts_log_{"account-book"};
     /// What the log was last told of.
     std::vector<std::string> asked_;
     bool was_fresh_ = false;
--- a/lib/control/control_core.cpp
+++ b/lib/control/control_core.cpp
@@ -408,7 +408,7 @@
     if (at.now - last_flush_ >= settings_.account_flush_period && disk_.ok()) {
         last_flush_ = at.now;
         // Reports that cannot be written are kept and tried again.
-        accounts_ok_ = accounts_.flush().ok();
+        accounts_written_ = accounts_.flush();
     }
     answer_reads(at.now);
     if (!disk_.ok()) {
@@ -425,7 +425,7 @@
     (void)event;
     stopping_ = true;
     if (disk_.ok()) {
-        accounts_ok_ = accounts_.flush().ok();
+        accounts_written_ = accounts_.flush();
         raft_.hand_over(at.now);
     }
 }
--- /dev/null
+++ b/lib/logging/dependency_log.cpp
@@ -0,0 +1,27 @@
+#include "fescuedyke/logging/dependency_log.h"
+
+#include <nlohmann/json.hpp>
+
+#include <utility>
+
+namespace fescuedyke {
+
+dependency_log::dependency_log(std::string name, writer write)
+    : name_(std::move(name)), write_(std::move(write))
+{
+}
+
+void dependency_log::note(const absl::Status& present)
+{
+    if (present == told_) {
+        return;
+    }
+    told_ = present;
+    if (present.ok()) {
+        write_(log_level::info, name_ + "-regained", nlohmann::json::object());
+        return;
+    }
+    write_(log_level::error, name_ + "-failed", {{"message", std::string(present.message())}});
+}
+
+} // namespace fescuedyke
--- a/unittests/control/control_cluster_test.cpp
+++ b/unittests/control/control_cluster_test.cpp
@@ -58,6 +58,25 @@
     EXPECT_EQ(c.violation(), "");
 }
 
+TEST(control_cluster, an_account_that_cannot_be_written_is_told_and_written_later)
+{
+    control_cluster c(1, 5);
+    must_lead(c);
+    c.run_for(millis(1000));
+    c.disk("m1").fill_up();
+    account_report report;
+    report.instance = instance_id("i1");
+    report.sequence = 1;
+    c.report("m1", report);
+    ASSERT_TRUE(c.run_until(millis(5000), [&] { return !c.core("m1").accounts_written().ok(); }));
+    EXPECT_TRUE(c.core("m1").disk().ok());
+    c.disk("m1").repair();
+    EXPECT_TRUE(c.run_until(millis(5000), [&] { return c.core("m1").accounts_written().ok(); }));
+    c.crash("m1");
+    ASSERT_TRUE(c.start("m1").ok());
+    EXPECT_EQ(c.core("m1").accounts().entries().size(), 1U);
+}
+
 TEST(control_cluster, of_two_operators_with_equal_versions_one_wins)
 {
     control_cluster c(3, 2);
--- /dev/null
+++ b/unittests/logging/dependency_log_test.cpp
@@ -0,0 +1,31 @@
+#include "fescuedyke/logging/dependency_log.h"
+
+#include <gtest/gtest.h>
+#include <nlohmann/json.hpp>
+
+#include <vector>
+
+namespace fescuedyke {
+namespace {
+
+TEST(dependency_log, tells_a_loss_its_reason_and_the_return_once_each)
+{
+    std::vector<std::string> lines;
+    dependency_log log("account-book", [&](log_level, const std::string& event,
+                                           const nlohmann::json& details) {
+        lines.push_back(event + (details.empty() ? "" : " " + std::string(details.at("message"))));
+    });
+    log.note(absl::OkStatus());
+    EXPECT_TRUE(lines.empty());
+    log.note(absl::ResourceExhaustedError("no space"));
+    log.note(absl::ResourceExhaustedError("no space"));
+    log.note(absl::DataLossError("torn"));
+    log.note(absl::OkStatus());
+    log.note(absl::OkStatus());
+    const std::vector<std::string> expected = {"account-book-failed no space",
+                                               "account-book-failed torn", "account-book-regained"};
+    EXPECT_EQ(lines, expected);
+}
+
+} // namespace
+} // namespace fescuedyke
