Let long bodies flow through both nodes

A flow can be sent again from its first byte until more than a stream's window was read; cut bodies look cut; early answers are passed on while the rest of the body still goes to the target; a body in chunks over the limit is answered 413 and cut. Keyed answers are still held whole, because they are kept. Found on the way by the tests: the serializer of a head in chunks also wrote the end of the body.

--- a/include/fescuedyke/call/message.h
+++ b/include/fescuedyke/call/message.h
@@ -1,6 +1,8 @@
 #ifndef FESCUEDYKE_CALL_MESSAGE_H
 #define FESCUEDYKE_CALL_MESSAGE_H
 
+#include "fescuedyke/call/body_flow.h"
+
 #include <memory>
 #include <string>
 #include <vector>
@@ -19,6 +21,16 @@
 /// A body, shared and never changed.
 using payload = std::shared_ptr<const std::string>;
 
+/// Bytes of a body that is held whole or flows; what flows without telling its length counts for as
+/// much as is kept of it.
+inline std::uint64_t message_bytes(const payload& body, const std::shared_ptr<body_source>& flow)
+{
+    if (flow) {
+        return flow->length().value_or(flow_capacity);
+    }
+    return body ? body->size() : 0;
+}
+
 /// What a caller asks of a target.
 struct http_request {
     std::string method;
@@ -26,8 +38,15 @@
     std::string path;
     std::vector<header> headers;
     payload body;
+    /// The body, when it is longer than is held whole; then there is no other.
+    std::shared_ptr<body_source> flow{};
 
-    std::size_t body_bytes() const { return body ? body->size() : 0; }
+    /// Bytes of the body, as far as they are told.
+    std::uint64_t body_bytes() const { return message_bytes(body, flow); }
+    /// Bytes that are held while the request is open.
+    std::uint64_t held_bytes() const { return flow ? flow_capacity : body_bytes(); }
+    /// Whether the body can be sent from its first byte on.
+    bool can_be_sent() const { return !flow || flow->can_restart(); }
 };
 
 /// What a target answers.
@@ -35,8 +54,11 @@
     int status = 0;
     std::vector<header> headers;
     payload body;
+    /// The body, when it is longer than is held whole; then there is no other.
+    std::shared_ptr<body_source> flow{};
 
-    std::size_t body_bytes() const { return body ? body->size() : 0; }
+    /// Bytes of the body, as far as they are told.
+    std::uint64_t body_bytes() const { return message_bytes(body, flow); }
 };
 
 /// Returns the value of the first header called \p name, or nullptr.
--- a/include/fescuedyke/daemon/traffic_runtime.h
+++ b/include/fescuedyke/daemon/traffic_runtime.h
@@ -66,7 +66,7 @@
     void carry_out(const cancel_dispatch& action);
     void carry_out(const reply_call& action);
     void carry_out(const hand_over_records& action);
-    void on_peer_request(peer_stream_id stream, const std::string& path, const std::string& body);
+    void on_peer_request(peer_stream_id stream, const std::string& path, const h2_message& message);
     void on_tick();
     void publish_record();
     void publish_account_if_due(instant now);
--- a/include/fescuedyke/node/actions.h
+++ b/include/fescuedyke/node/actions.h
@@ -48,6 +48,9 @@
     millis time_left;
     /// Whether a connection that dies under the request may be replaced and the request sent again.
     bool may_repeat = false;
+    /// Whether a long answer may be passed on while it comes in. Answers that are kept for a resend
+    /// may not.
+    bool answer_may_flow = false;
 };
 
 /// Cancel a call at the target.
--- a/include/fescuedyke/transport/frame.h
+++ b/include/fescuedyke/transport/frame.h
@@ -10,11 +10,13 @@
 
 namespace fescuedyke {
 
-/// A head of its own and a body that is shared with whoever else holds it.
+/// A head of its own and a body that is shared with whoever else holds it, or that flows.
 struct frame {
     std::string head;
     payload body;
+    std::shared_ptr<body_source> flow{};
 
+    /// Bytes that are held whole.
     std::size_t size() const { return head.size() + (body ? body->size() : 0); }
 };
 
--- a/include/fescuedyke/transport/h2_connection.h
+++ b/include/fescuedyke/transport/h2_connection.h
@@ -11,7 +11,9 @@
 #include <functional>
 #include <map>
 #include <memory>
+#include <optional>
 #include <string>
+#include <string_view>
 
 /// \file
 /// One HTTP/2 connection between two processes of the system, driven by an event loop.
@@ -26,17 +28,24 @@
     lost
 };
 
+/// A request or a response as it came in.
+struct h2_message {
+    std::string bytes;
+    /// What follows the bytes while it comes in, if the body flows.
+    std::shared_ptr<body_source> flow{};
+};
+
 /// What a connection tells its owner. No function may destroy the connection.
 class h2_events {
 public:
     virtual ~h2_events() = default;
 
-    /// On the server's side: a whole request came in.
-    virtual void on_request(std::int32_t stream, const std::string& path, std::string body) = 0;
+    /// On the server's side: a request came in, whole or up to a body that flows.
+    virtual void on_request(std::int32_t stream, const std::string& path, h2_message message) = 0;
     /// On the server's side: the client gave a request up, or its connection was lost.
     virtual void on_request_gone(std::int32_t stream) = 0;
-    /// On the client's side: a whole response came in.
-    virtual void on_response(std::int32_t stream, std::string body) = 0;
+    /// On the client's side: a response came in, whole or up to a body that flows.
+    virtual void on_response(std::int32_t stream, h2_message message) = 0;
     /// On the client's side: a request will get no response.
     virtual void on_failure(std::int32_t stream, stream_failure failure) = 0;
     /// The connection is closed; nothing more will come from it.
@@ -80,13 +89,26 @@
         std::string received;
         frame sending;
         std::size_t sent = 0;
-        bool complete = false;
+        /// The reading of the flow that is sent, and whether it waits for more.
+        std::uint64_t reading = 0;
+        bool waits = false;
+        /// Bytes before a body that flows in, if it does, the body, and what its reader has let the
+        /// other side send on for.
+        std::optional<std::size_t> head_bytes;
+        std::optional<std::uint64_t> flow_bytes;
+        std::unique_ptr<body_writer> incoming;
+        std::uint64_t consumed = 0;
+        /// The request or response was handed to the owner.
+        bool delivered = false;
         bool refused = false;
+        bool answered = false;
     };
 
     static ssize_t read_body(nghttp2_session* session, std::int32_t stream, std::uint8_t* buffer,
                              std::size_t length, std::uint32_t* flags, nghttp2_data_source* source,
                              void* self);
+    static ssize_t read_flow(stream_state& s, std::uint8_t* buffer, std::size_t length,
+                             std::uint32_t* flags);
     static int on_begin_headers(nghttp2_session* session, const nghttp2_frame* frame, void* self);
     static int on_header(nghttp2_session* session, const nghttp2_frame* frame,
                          const std::uint8_t* name, std::size_t name_length,
@@ -95,6 +117,7 @@
     static int on_data(nghttp2_session* session, std::uint8_t flags, std::int32_t stream,
                        const std::uint8_t* data, std::size_t length, void* self);
     static int on_frame(nghttp2_session* session, const nghttp2_frame* frame, void* self);
+    static int on_sent(nghttp2_session* session, const nghttp2_frame* frame, void* self);
     static int on_stream_close(nghttp2_session* session, std::int32_t stream,
                                std::uint32_t error_code, void* self);
 
@@ -108,6 +131,14 @@
     void fail_all();
     void finish(std::int32_t stream);
     void take_header(std::int32_t stream, const std::string& name, const std::string& value);
+    void take_data(std::int32_t stream, std::string_view data);
+    void take_flowing(std::int32_t stream, stream_state& state, std::string_view data);
+    void begin_flow(std::int32_t stream, stream_state& state);
+    void let_flow(std::int32_t stream);
+    void send_on(std::int32_t stream);
+    void deliver(std::int32_t stream, stream_state& state, h2_message message);
+    void begin_sending(std::int32_t stream, frame body);
+    flow_signal later(void (h2_connection::*step)(std::int32_t), std::int32_t stream);
     nghttp2_data_provider provider();
 
     event_loop& loop_;
--- a/include/fescuedyke/transport/http_codec.h
+++ b/include/fescuedyke/transport/http_codec.h
@@ -6,6 +6,7 @@
 
 #include <cstdint>
 #include <memory>
+#include <optional>
 #include <string>
 #include <vector>
 
@@ -19,6 +20,8 @@
 struct http_limits {
     std::size_t head_bytes = 64U << 10U;
     std::uint64_t body_bytes = 64ULL << 20U;
+    /// Whether bodies that are longer than is held whole are handed over while they come in.
+    bool bodies_flow = false;
     /// Bodies that are coming in and those that wait for their answers, over all connections. A
     /// request beyond this is refused before its body is read.
     std::uint64_t held_bytes = 128ULL << 20U;
@@ -44,13 +47,25 @@
     /// Whether the head of the present request has not come in whole.
     bool in_head() const;
     /// Bytes of the body that are to be held, by what the head tells or by what has come.
-    std::uint64_t body_bytes() const;
+    std::uint64_t held_bytes() const;
+    /// Whether the body is longer than is held whole.
+    bool flows() const;
+    /// The length of the body, if the head tells it.
+    std::optional<std::uint64_t> content_length() const;
     /// Whether the client waits for leave to send the body; true once for each request.
     bool take_expectation();
     /// Hands over the complete request; the next read() begins another.
     http_request take();
+    /// Hands over the head while the body comes in.
+    http_request take_head();
+    /// Hands over what has come of the body since the last call.
+    std::string take_body_part();
+    /// After the rest of a body whose head was handed over: the next read() begins another request.
+    void next() { begin(); }
     /// Whether the connection may serve another request after the one handed over last.
     bool keep_alive() const { return keep_alive_; }
+    /// Whether the client of the request handed over last knows chunks.
+    bool knows_chunks() const { return knows_chunks_; }
     /// After a failure, the status that tells the client of it.
     int error_status() const { return error_status_; }
 
@@ -61,6 +76,7 @@
     const http_limits& limits_;
     std::unique_ptr<impl> impl_;
     bool keep_alive_ = true;
+    bool knows_chunks_ = true;
     bool expectation_seen_ = false;
     int error_status_ = 0;
 };
@@ -80,7 +96,15 @@
     /// The server ended the connection in order. Returns whether this completes the response.
     bool finish();
     bool head_seen() const;
+    /// Whether the body is longer than is held whole.
+    bool flows() const;
+    /// The length of the body, if the head tells it.
+    std::optional<std::uint64_t> content_length() const;
     http_answer take();
+    /// Hands over the head while the body comes in.
+    http_answer take_head();
+    /// Hands over what has come of the body since the last call.
+    std::string take_body_part();
     bool keep_alive() const { return keep_alive_; }
     /// How long the server keeps an idle connection, by its Keep-Alive header; 0 if it tells none.
     millis idle_time() const { return idle_time_; }
@@ -94,11 +118,13 @@
     millis idle_time_;
 };
 
-/// Returns the head of a request with \p extra headers.
+/// Returns the head of a request with \p extra headers. A body that flows without telling its
+/// length goes in chunks.
 std::string request_head(const http_request& request, const std::vector<header>& extra);
 
-/// Returns the head of a response.
-std::string answer_head(const http_answer& answer, bool close);
+/// Returns the head of a response. A body that flows without telling its length goes in chunks if
+/// the client \p knows_chunks, and else up to the end of the connection.
+std::string answer_head(const http_answer& answer, bool close, bool knows_chunks = true);
 
 /// Leave to send the body of a request.
 std::string continue_head();
--- a/include/fescuedyke/transport/peer_client.h
+++ b/include/fescuedyke/transport/peer_client.h
@@ -17,8 +17,8 @@
 
 namespace fescuedyke {
 
-/// The body of a response, or why there is none.
-using peer_result = std::variant<std::string, stream_failure>;
+/// A response, or why there is none.
+using peer_result = std::variant<h2_message, stream_failure>;
 
 /// Names a request until it ends.
 using peer_request_id = strong<struct peer_request_id_tag, std::uint64_t>;
--- a/include/fescuedyke/transport/peer_server.h
+++ b/include/fescuedyke/transport/peer_server.h
@@ -20,7 +20,7 @@
 class peer_server {
 public:
     struct handlers {
-        std::function<void(peer_stream_id, const std::string& path, std::string body)> on_request;
+        std::function<void(peer_stream_id, const std::string& path, h2_message)> on_request;
         std::function<void(peer_stream_id)> on_gone;
         /// Whether a request of so many bytes may be taken in; otherwise it is refused unread.
         std::function<bool(std::uint64_t bytes)> may_take;
--- a/include/fescuedyke/transport/target_client.h
+++ b/include/fescuedyke/transport/target_client.h
@@ -29,6 +29,8 @@
     std::vector<header> extra_headers;
     /// Whether the request may be sent again when a kept connection dies under it.
     bool may_repeat = false;
+    /// Whether a long answer may be delivered with its body still to come.
+    bool answer_may_flow = false;
     /// A header that the answer must bring back as it was sent; what does not is no answer to this
     /// request.
     std::optional<header> echoed{};
--- a/lib/codec/call_codec.cpp
+++ b/lib/codec/call_codec.cpp
@@ -45,6 +45,12 @@
     return bytes + head;
 }
 
+/// What follows the head in the same message; a body that flows comes apart from it.
+std::uint64_t whole_bytes(const payload& body)
+{
+    return body ? body->size() : 0;
+}
+
 /// Splits \p bytes; the body is what follows the head.
 template <class T>
 absl::StatusOr<T> split(const std::string& bytes, const char* what, std::size_t& body_at)
@@ -80,8 +86,8 @@
 
 std::string encode_call_head(const call_context& context, const http_request& request)
 {
-    return with_length(encode(
-        call_head{context, request.method, request.path, request.headers, request.body_bytes()}));
+    return with_length(encode(call_head{context, request.method, request.path, request.headers,
+                                        whole_bytes(request.body)}));
 }
 
 absl::StatusOr<decoded_call> decode_call(const std::string& bytes)
@@ -108,7 +114,7 @@
 {
     return with_length(
         encode(reply_head{reply.result, reply.fenced, reply.answer.status, reply.answer.headers,
-                          reply.allowance_left, reply.load, reply.answer.body_bytes()}));
+                          reply.allowance_left, reply.load, whole_bytes(reply.answer.body)}));
 }
 
 absl::StatusOr<call_reply> decode_reply(const std::string& bytes)
--- a/lib/daemon/control_runtime.cpp
+++ b/lib/daemon/control_runtime.cpp
@@ -124,7 +124,7 @@
     server_ = std::make_unique<peer_server>(
         loop_,
         peer_server::handlers{[this](peer_stream_id stream, const std::string& path,
-                                     const std::string& body) { on_request(stream, path, body); },
+                                     const h2_message& m) { on_request(stream, path, m.bytes); },
                               [](peer_stream_id) {},
                               [](std::uint64_t bytes) { return bytes <= most_control_bytes; }});
     return server_->listen(self.address);
@@ -220,13 +220,13 @@
         peers_.send(p.address, poll_path, {std::move(body), nullptr},
                     [this, number](peer_result result) {
                         const instant now = loop_.now().now;
-                        const auto* bytes = std::get_if<std::string>(&result);
-                        if (bytes == nullptr) {
+                        const auto* message = std::get_if<h2_message>(&result);
+                        if (message == nullptr) {
                             subscriber_.on_failed(number, now);
                             return;
                         }
-                        poll_bytes_received_ += bytes->size();
-                        const absl::StatusOr<poll_reply> reply = decode_poll_reply(*bytes);
+                        poll_bytes_received_ += message->bytes.size();
+                        const absl::StatusOr<poll_reply> reply = decode_poll_reply(message->bytes);
                         if (!reply.ok()) {
                             subscriber_.on_failed(number, now);
                             return;
@@ -247,12 +247,8 @@
     loop_.after(member_tick_period, [this] { on_member_tick(); });
     handle(control_tick{});
     note_member();
-    if (core_->disk().ok() == disk_reported_) {
-        disk_reported_ = !core_->disk().ok();
-        write_log(disk_reported_ ? log_level::error : log_level::info,
-                  disk_reported_ ? "member-disk-failed" : "member-disk-regained",
-                  {{"message", std::string(core_->disk().message())}});
-    }
+    disk_log_.note(core_->disk());
+    accounts_log_.note(core_->accounts_written());
 }
 
 void control_runtime::handle(const control_event& event)
@@ -278,11 +274,11 @@
 {
     peers_.send(action.address, sync_path, {encode_member_sync(action.sync), nullptr},
                 [this](peer_result result) {
-                    const auto* bytes = std::get_if<std::string>(&result);
-                    if (bytes == nullptr) {
+                    const auto* message = std::get_if<h2_message>(&result);
+                    if (message == nullptr) {
                         return;
                     }
-                    absl::StatusOr<member_sync> sync = decode_member_sync(*bytes);
+                    absl::StatusOr<member_sync> sync = decode_member_sync(message->bytes);
                     if (sync.ok()) {
                         handle(member_sync_answered{std::move(*sync)});
                     }
--- a/lib/daemon/daemon.cpp
+++ b/lib/daemon/daemon.cpp
@@ -24,6 +24,7 @@
 constexpr int forbidden_status = 403;
 constexpr int not_found_status = 404;
 constexpr int conflict_status = 409;
+constexpr int too_large_status = 413;
 constexpr int misdirected_status = 421;
 constexpr int unavailable_status = 503;
 
@@ -67,10 +68,21 @@
     {"GET", "/v1/accounts", &daemon_process::serve_accounts, true},
 };
 
+namespace {
+
+http_limits flowing_limits()
+{
+    http_limits limits;
+    limits.bodies_flow = true;
+    return limits;
+}
+
+} // namespace
+
 daemon_process::daemon_process(const process_settings& settings, std::uint64_t seed)
     : settings_(settings), traffic_random_(seed), control_random_(seed + 1), traffic_loop_(clock_),
       control_loop_(clock_),
-      http_(traffic_loop_, {},
+      http_(traffic_loop_, flowing_limits(),
             {[this](exchange_id exchange, http_request request) {
                  on_http(exchange, std::move(request));
              },
@@ -158,6 +170,10 @@
         traffic_->handle(event);
         return;
     }
+    if (request.flow) {
+        answer_error(exchange, too_large_status, "body: is too large for this path");
+        return;
+    }
     const http_target target = split_target(request.path);
     for (const route& r : routes) {
         if (request.method != r.method || target.path != r.path) {
--- a/lib/daemon/outcome_http.cpp
+++ b/lib/daemon/outcome_http.cpp
@@ -81,6 +81,7 @@
     request.request = call.request;
     request.extra_headers = {{call_header, call.token}};
     request.may_repeat = call.may_repeat;
+    request.answer_may_flow = call.answer_may_flow;
     return request;
 }
 
--- a/lib/daemon/traffic_runtime.cpp
+++ b/lib/daemon/traffic_runtime.cpp
@@ -41,8 +41,9 @@
                                  traffic_listeners listeners)
     : settings_(settings), loop_(loop), http_(http), dialect_(dialect),
       listeners_(std::move(listeners)), core_(settings, random), peers_(loop),
-      server_(loop, {[this](peer_stream_id stream, const std::string& path,
-                            const std::string& body) { on_peer_request(stream, path, body); },
+      server_(loop, {[this](peer_stream_id stream, const std::string& path, const h2_message& m) {
+                         on_peer_request(stream, path, m);
+                     },
                      [this](peer_stream_id stream) {
                          handle(peer_cancelled{exchange_id(stream.value())});
                      },
@@ -210,17 +211,17 @@
 }
 
 void traffic_runtime::on_peer_request(peer_stream_id stream, const std::string& path,
-                                      const std::string& body)
+                                      const h2_message& message)
 {
     if (path == handover_path) {
-        absl::StatusOr<records_handed_over> records = decode_handover(body);
+        absl::StatusOr<records_handed_over> records = decode_handover(message.bytes);
         if (records.ok()) {
             handle(*records);
         }
         server_.respond(stream, {});
         return;
     }
-    absl::StatusOr<decoded_call> call = decode_call(body);
+    absl::StatusOr<decoded_call> call = decode_call(message.bytes);
     if (path != call_path || !call.ok()) {
         write_log(log_level::warning, "malformed-peer-request", {{"path", path}});
         call_reply refusal;
@@ -228,6 +229,7 @@
         server_.respond(stream, {encode_reply_head(refusal), nullptr});
         return;
     }
+    call->request.flow = message.flow;
     handle(peer_call{exchange_id(stream.value()), std::move(call->context),
                      std::make_shared<http_request>(std::move(call->request))});
 }
@@ -331,7 +333,8 @@
     log_sent(action);
     const call_id call = action.context.call;
     const int attempt = action.context.attempt;
-    frame body{encode_call_head(action.context, *action.request), action.request->body};
+    frame body{encode_call_head(action.context, *action.request), action.request->body,
+               action.request->flow};
     const peer_request_id request =
         peers_.send(action.address, call_path, std::move(body), [=](peer_result result) {
             attempts_.erase({call, attempt});
@@ -341,11 +344,13 @@
                                    never ? peer_failure::never_processed : peer_failure::lost});
                 return;
             }
-            absl::StatusOr<call_reply> reply = decode_reply(std::get<std::string>(result));
+            const auto& message = std::get<h2_message>(result);
+            absl::StatusOr<call_reply> reply = decode_reply(message.bytes);
             if (!reply.ok()) {
                 handle(peer_failed{call, attempt, peer_failure::lost});
                 return;
             }
+            reply->answer.flow = message.flow;
             handle(peer_reply{call, attempt, std::move(*reply)});
         });
     attempts_[{call, attempt}] = request;
@@ -387,8 +392,9 @@
     if (const auto* stream = std::get_if<exchange_id>(&action.to)) {
         log_reply(action);
         peers_requests_.erase(*stream);
-        server_.respond(peer_stream_id(stream->value()),
-                        {encode_reply_head(action.reply), action.reply.answer.body});
+        server_.respond(
+            peer_stream_id(stream->value()),
+            {encode_reply_head(action.reply), action.reply.answer.body, action.reply.answer.flow});
     }
 }
 
--- a/lib/node/inbound_calls.cpp
+++ b/lib/node/inbound_calls.cpp
@@ -149,7 +149,7 @@
     entry.order = call.context.order;
     entry.idempotent = call.context.idempotent;
     entry.deadline = call.deadline;
-    entry.bytes = call.request->body_bytes();
+    entry.bytes = call.request->held_bytes();
     apply(admission_->offer(entry, now), now);
 }
 
@@ -175,7 +175,7 @@
     call.dispatched = now;
     actions_.emplace_back(dispatch_call{call.id, call.request, call_token(call.id),
                                         call.context.target, call.deadline - now,
-                                        call.context.idempotent});
+                                        call.context.idempotent, !call.key.has_value()});
 }
 
 load_report inbound_calls::load(flow_id flow, instant now) const
--- a/lib/node/outbound_calls.cpp
+++ b/lib/node/outbound_calls.cpp
@@ -67,7 +67,7 @@
     if (stopping_ && !options->parent && !event.route) {
         return refused(outcome_reason::draining);
     }
-    if (bytes_held_ + event.request->body_bytes() > settings_.memory_bytes) {
+    if (bytes_held_ + event.request->held_bytes() > settings_.memory_bytes) {
         return refused(outcome_reason::memory_full);
     }
     return std::nullopt;
@@ -110,7 +110,7 @@
     }
     call.row = {account_side::sent, settings_.owner, event.service, call.context.order.cls()};
     accounts_.on_received(call.row);
-    bytes_held_ += call.request->body_bytes();
+    bytes_held_ += call.request->held_bytes();
     by_exchange_[call.exchange] = call.id;
     deadlines_.insert({call.deadline, call.id});
     if (call.options.parent) {
@@ -327,7 +327,8 @@
         result.kind != outcome_kind::not_run || result.reason == outcome_reason::target_shed;
     call.targets_reached += reached ? 1 : 0;
     if (result.kind == outcome_kind::answered) {
-        const bool failed = call.routed && answer.status >= least_failure_status;
+        const bool failed =
+            call.routed && answer.status >= least_failure_status && answer.flow == nullptr;
         const outcome as_unknown = outcome::unknown(outcome_reason::connection_lost);
         if (failed && call.context.idempotent && may_retry_routed(call, as_unknown, now)) {
             call.failed_answer = answer;
@@ -362,7 +363,7 @@
     calls_.erase(found);
     by_exchange_.erase(call.exchange);
     deadlines_.erase({call.deadline, id});
-    bytes_held_ -= call.request->body_bytes();
+    bytes_held_ -= call.request->held_bytes();
     if (call.options.parent) {
         const auto siblings = by_parent_.find(*call.options.parent);
         siblings->second.erase(id);
--- a/lib/node/outbound_retry.cpp
+++ b/lib/node/outbound_retry.cpp
@@ -27,7 +27,7 @@
 bool outbound_calls::may_retry_routed(const outbound_call& call, const outcome& result, instant now)
 {
     const bool has_time = call.deadline - now > chooser_.expected_time(call.context.service);
-    if (!has_time || call.tried.size() >= most_refusals) {
+    if (!has_time || !call.request->can_be_sent() || call.tried.size() >= most_refusals) {
         return false;
     }
     const bool reached =
@@ -51,7 +51,7 @@
     if (call.routed) {
         return may_retry_routed(call, result, now);
     }
-    if (!call.context.idempotent || call.allowance.left() == 0) {
+    if (!call.context.idempotent || call.allowance.left() == 0 || !call.request->can_be_sent()) {
         return false;
     }
     const bool elsewhere = result.kind == outcome_kind::unknown || is_local_refusal(result.reason);
--- a/lib/transport/h2_connection.cpp
+++ b/lib/transport/h2_connection.cpp
@@ -1,5 +1,7 @@
 #include "fescuedyke/transport/h2_connection.h"
 
+#include <absl/strings/numbers.h>
+
 #include <algorithm>
 #include <array>
 #include <cassert>
@@ -16,7 +18,9 @@
 namespace {
 
 constexpr std::uint32_t most_streams = 20'000;
-constexpr std::int32_t stream_window_bytes = 1 << 20;
+
+/// A body that waits for its target has left its sender only as far as it can be sent again.
+constexpr std::int32_t stream_window_bytes = flow_restart_bytes;
 constexpr std::int32_t connection_window_bytes = 16 << 20;
 constexpr std::size_t read_bytes = 64U << 10U;
 
@@ -36,6 +40,30 @@
     return nv;
 }
 
+/// Tells the bytes that come before a body that flows.
+constexpr const char* flow_header = "fescue-flow-after";
+
+std::size_t number_in(const std::string& value)
+{
+    std::size_t number = 0;
+    return absl::SimpleAtoi(value, &number) ? number : 0;
+}
+
+/// Headers of a message that has \p body, after those of its own.
+void add_body_headers(std::vector<nghttp2_nv>& headers, const frame& body, std::string& head,
+                      std::string& length)
+{
+    const std::uint64_t rest = body.flow ? body.flow->length().value_or(0) : 0;
+    head = std::to_string(body.size());
+    length = std::to_string(body.size() + rest);
+    if (body.flow) {
+        headers.push_back(make_nv(flow_header, head));
+    }
+    if (!body.flow || body.flow->length()) {
+        headers.push_back(make_nv("content-length", length));
+    }
+}
+
 h2_connection* self_of(void* self)
 {
     return static_cast<h2_connection*>(self);
@@ -70,13 +98,19 @@
     nghttp2_session_callbacks_set_on_header_callback(callbacks, on_header);
     nghttp2_session_callbacks_set_on_data_chunk_recv_callback(callbacks, on_data);
     nghttp2_session_callbacks_set_on_frame_recv_callback(callbacks, on_frame);
+    nghttp2_session_callbacks_set_on_frame_send_callback(callbacks, on_sent);
     nghttp2_session_callbacks_set_on_stream_close_callback(callbacks, on_stream_close);
+    nghttp2_option* options = nullptr;
+    nghttp2_option_new(&options);
+    // What flows is let on as fast as its reader takes it.
+    nghttp2_option_set_no_auto_window_update(options, 1);
     if (side_ == side::client) {
-        nghttp2_session_client_new(&session_, callbacks, this);
+        nghttp2_session_client_new2(&session_, callbacks, this, options);
     }
     else {
-        nghttp2_session_server_new(&session_, callbacks, this);
+        nghttp2_session_server_new2(&session_, callbacks, this, options);
     }
+    nghttp2_option_del(options);
     nghttp2_session_callbacks_del(callbacks);
     const std::array<nghttp2_settings_entry, 2> settings = {
         {{NGHTTP2_SETTINGS_MAX_CONCURRENT_STREAMS, most_streams},
@@ -98,21 +132,21 @@
     if (closed_) {
         return -1;
     }
-    const std::string length = std::to_string(body.size());
     const std::string post = "POST";
     const std::string scheme = "http";
     const std::string authority = "node";
-    const std::array<nghttp2_nv, 5> headers = {
-        make_nv(":method", post), make_nv(":scheme", scheme), make_nv(":authority", authority),
-        make_nv(":path", path), make_nv("content-length", length)};
+    std::string head;
+    std::string length;
+    std::vector<nghttp2_nv> headers = {make_nv(":method", post), make_nv(":scheme", scheme),
+                                       make_nv(":authority", authority), make_nv(":path", path)};
+    add_body_headers(headers, body, head, length);
     const nghttp2_data_provider p = provider();
     const std::int32_t stream =
         nghttp2_submit_request(session_, nullptr, headers.data(), headers.size(), &p, nullptr);
     if (stream < 0) {
         return -1;
     }
-    streams_[stream].sending = std::move(body);
-    schedule_flush();
+    begin_sending(stream, std::move(body));
     return stream;
 }
 
@@ -123,13 +157,13 @@
         return;
     }
     const std::string ok = "200";
-    const std::string length = std::to_string(body.size());
-    const std::array<nghttp2_nv, 2> headers = {make_nv(":status", ok),
-                                               make_nv("content-length", length)};
-    found->second.sending = std::move(body);
+    std::string head;
+    std::string length;
+    std::vector<nghttp2_nv> headers = {make_nv(":status", ok)};
+    add_body_headers(headers, body, head, length);
     const nghttp2_data_provider p = provider();
     nghttp2_submit_response(session_, stream, headers.data(), headers.size(), &p);
-    schedule_flush();
+    begin_sending(stream, std::move(body));
 }
 
 void h2_connection::reset(std::int32_t stream, std::uint32_t error_code)
@@ -170,6 +204,9 @@
     }
     stream_state& s = found->second;
     const std::size_t total = s.sending.size();
+    if (s.sent == total && s.sending.flow) {
+        return read_flow(s, buffer, length, flags);
+    }
     const std::size_t head = s.sending.head.size();
     const bool in_head = s.sent < head;
     const std::string& part = in_head || !s.sending.body ? s.sending.head : *s.sending.body;
@@ -177,7 +214,7 @@
     const std::size_t count = std::min(length, s.sent < total ? part.size() - from : 0);
     std::copy_n(part.data() + from, count, buffer);
     s.sent += count;
-    if (s.sent == total) {
+    if (s.sent == total && !s.sending.flow) {
         *flags |= NGHTTP2_DATA_FLAG_EOF;
     }
     return static_cast<ssize_t>(count);
@@ -218,15 +255,28 @@
     if (name == ":path") {
         found->second.path = value;
     }
-    if (name == "content-length") {
-        // nghttp2 checks that it is a number and that the body keeps to it.
-        const std::uint64_t bytes = std::strtoull(value.c_str(), nullptr, 10);
-        if (side_ == side::server && !events_.may_take(bytes)) {
-            found->second.refused = true;
-            reset(stream, NGHTTP2_REFUSED_STREAM);
-            return;
-        }
-        found->second.received.reserve(bytes);
+    stream_state& s = found->second;
+    const bool flows = name == flow_header;
+    if (flows) {
+        s.head_bytes = number_in(value);
+    }
+    const bool length = name == "content-length";
+    // The header on the flow comes before the length, which then says nothing of what is held.
+    if (length && s.head_bytes) {
+        s.flow_bytes = number_in(value) - std::min(number_in(value), *s.head_bytes);
+        return;
+    }
+    if (!flows && !length) {
+        return;
+    }
+    const std::size_t bytes = flows ? flow_capacity : number_in(value);
+    if (side_ == side::server && !events_.may_take(bytes)) {
+        s.refused = true;
+        reset(stream, NGHTTP2_REFUSED_STREAM);
+        return;
+    }
+    if (!flows) {
+        s.received.reserve(bytes);
     }
 }
 
@@ -235,11 +285,7 @@
 {
     (void)session;
     (void)flags;
-    auto& streams = self_of(self)->streams_;
-    const auto found = streams.find(stream);
-    if (found != streams.end() && !found->second.refused) {
-        found->second.received.append(reinterpret_cast<const char*>(data), length);
-    }
+    self_of(self)->take_data(stream, {reinterpret_cast<const char*>(data), length});
     return 0;
 }
 
@@ -256,16 +302,27 @@
 void h2_connection::finish(std::int32_t stream)
 {
     const auto found = streams_.find(stream);
-    if (found == streams_.end() || found->second.complete || found->second.refused) {
+    if (found == streams_.end() || found->second.refused) {
         return;
     }
-    found->second.complete = true;
-    std::string body = std::move(found->second.received);
+    stream_state& s = found->second;
+    if (s.incoming) {
+        s.incoming->finish();
+        return;
+    }
+    if (!s.delivered) {
+        deliver(stream, s, {std::move(s.received)});
+    }
+}
+
+void h2_connection::deliver(std::int32_t stream, stream_state& state, h2_message message)
+{
+    state.delivered = true;
     if (side_ == side::server) {
-        events_.on_request(stream, found->second.path, std::move(body));
+        events_.on_request(stream, state.path, std::move(message));
     }
     else {
-        events_.on_response(stream, std::move(body));
+        events_.on_response(stream, std::move(message));
     }
 }
 
@@ -281,13 +338,13 @@
     const stream_state state = std::move(found->second);
     c.streams_.erase(found);
     if (c.side_ == side::server) {
-        const bool given_up = state.complete && error_code != NGHTTP2_NO_ERROR;
+        const bool given_up = state.delivered && error_code != NGHTTP2_NO_ERROR;
         if (given_up) {
             c.events_.on_request_gone(stream);
         }
         return 0;
     }
-    if (!state.complete) {
+    if (!state.delivered) {
         // nghttp2 closes with REFUSED_STREAM also what lies above the last stream of a GOAWAY.
         const bool refused = error_code == NGHTTP2_REFUSED_STREAM;
         c.events_.on_failure(stream,
@@ -416,17 +473,17 @@
 
 void h2_connection::fail_all()
 {
-    const std::map<std::int32_t, stream_state> open = std::exchange(streams_, {});
+    std::map<std::int32_t, stream_state> open;
+    open.swap(streams_);
     for (const auto& [stream, state] : open) {
         if (side_ == side::server) {
-            if (state.complete) {
+            if (state.delivered) {
                 events_.on_request_gone(stream);
             }
             continue;
         }
-        if (!state.complete) {
-            // The other side acts on whole requests only, so that nothing of a connection that was
-            // never made can have been processed.
+        if (!state.delivered) {
+            // Nothing of a connection that was never made can have been processed.
             events_.on_failure(stream,
                                connected_ ? stream_failure::lost : stream_failure::never_processed);
         }
--- a/lib/transport/http_codec.cpp
+++ b/lib/transport/http_codec.cpp
@@ -57,9 +57,11 @@
 template <bool IsRequest> std::string head_of(http::message<IsRequest, http::empty_body>& message)
 {
     http::serializer<IsRequest, http::empty_body> serializer(message);
+    // Without the end of a body in chunks, which follows later.
+    serializer.split(true);
     std::string text;
     beast::error_code error;
-    while (!serializer.is_done() && !error) {
+    while (!serializer.is_header_done() && !error) {
         serializer.next(error, [&](beast::error_code&, const auto& buffers) {
             std::size_t size = 0;
             for (const auto part : beast::buffers_range_ref(buffers)) {
@@ -83,6 +85,18 @@
     return method == "POST" || method == "PUT" || method == "PATCH";
 }
 
+template <class Parser> std::optional<std::uint64_t> told_length(const Parser& parser)
+{
+    const auto told = parser.is_header_done() ? parser.content_length() : boost::none;
+    return told ? std::optional<std::uint64_t>(*told) : std::nullopt;
+}
+
+/// Bytes of the body by what the head tells or by what has come.
+template <class Parser> std::uint64_t message_size(const Parser& parser)
+{
+    return std::max<std::uint64_t>(told_length(parser).value_or(0), parser.get().body().size());
+}
+
 millis keep_alive_time(const std::string& value)
 {
     for (const auto part : absl::StrSplit(value, ',')) {
@@ -135,10 +149,19 @@
     return !impl_->parser.is_header_done();
 }
 
-std::uint64_t request_reader::body_bytes() const
+std::uint64_t request_reader::held_bytes() const
+{
+    return flows() ? flow_capacity : message_size(impl_->parser);
+}
+
+bool request_reader::flows() const
 {
-    const std::uint64_t told = in_head() ? 0 : impl_->parser.content_length().value_or(0);
-    return std::max<std::uint64_t>(told, impl_->parser.get().body().size());
+    return limits_.bodies_flow && message_size(impl_->parser) > longest_whole_body;
+}
+
+std::optional<std::uint64_t> request_reader::content_length() const
+{
+    return told_length(impl_->parser);
 }
 
 bool request_reader::take_expectation()
@@ -153,17 +176,29 @@
 
 http_request request_reader::take()
 {
-    http::request<http::string_body> message = impl_->parser.release();
+    http_request request = take_head();
+    request.body = std::make_shared<const std::string>(take_body_part());
+    begin();
+    return request;
+}
+
+http_request request_reader::take_head()
+{
+    const auto& message = impl_->parser.get();
     http_request request;
     request.method = std::string(message.method_string());
     request.path = std::string(message.target());
     request.headers = headers_of(message);
-    request.body = std::make_shared<const std::string>(std::move(message.body()));
     keep_alive_ = message.keep_alive();
-    begin();
+    knows_chunks_ = message.version() >= http_version;
     return request;
 }
 
+std::string request_reader::take_body_part()
+{
+    return std::exchange(impl_->parser.get().body(), {});
+}
+
 struct answer_reader::impl {
     http::response_parser<http::string_body> parser;
 };
@@ -216,17 +251,39 @@
 }
 
 http_answer answer_reader::take()
+{
+    http_answer answer = take_head();
+    answer.body = std::make_shared<const std::string>(take_body_part());
+    return answer;
+}
+
+http_answer answer_reader::take_head()
 {
     keep_alive_ = impl_->parser.keep_alive() && !impl_->parser.need_eof();
-    http::response<http::string_body> message = impl_->parser.release();
+    const auto& message = impl_->parser.get();
     http_answer answer;
     answer.status = static_cast<int>(message.result_int());
     answer.headers = headers_of(message);
-    answer.body = std::make_shared<const std::string>(std::move(message.body()));
     idle_time_ = keep_alive_time(std::string(message[http::field::keep_alive]));
     return answer;
 }
 
+std::string answer_reader::take_body_part()
+{
+    return std::exchange(impl_->parser.get().body(), {});
+}
+
+bool answer_reader::flows() const
+{
+    const bool interim = impl_->parser.get().result_int() < least_final_status;
+    return !head_request_ && !interim && message_size(impl_->parser) > longest_whole_body;
+}
+
+std::optional<std::uint64_t> answer_reader::content_length() const
+{
+    return told_length(impl_->parser);
+}
+
 std::string request_head(const http_request& request, const std::vector<header>& extra)
 {
     http::request<http::empty_body> message;
@@ -241,13 +298,16 @@
     for (const header& h : extra) {
         message.insert(h.name, h.value);
     }
-    if (request.body_bytes() > 0 || has_body_by_method(request.method)) {
+    if (request.flow && !request.flow->length()) {
+        message.chunked(true);
+    }
+    else if (request.body_bytes() > 0 || has_body_by_method(request.method)) {
         message.set(http::field::content_length, std::to_string(request.body_bytes()));
     }
     return head_of(message);
 }
 
-std::string answer_head(const http_answer& answer, bool close)
+std::string answer_head(const http_answer& answer, bool close, bool knows_chunks)
 {
     http::response<http::empty_body> message;
     message.version(http_version);
@@ -259,7 +319,10 @@
     }
     constexpr int no_content = 204;
     constexpr int not_modified = 304;
-    if (answer.status != no_content && answer.status != not_modified) {
+    if (answer.flow && !answer.flow->length()) {
+        message.chunked(knows_chunks);
+    }
+    else if (answer.status != no_content && answer.status != not_modified) {
         message.set(http::field::content_length, std::to_string(answer.body_bytes()));
     }
     if (close) {
--- a/lib/transport/peer_client.cpp
+++ b/lib/transport/peer_client.cpp
@@ -27,7 +27,7 @@
 
     bool send(peer_request_id id, const std::string& path, frame body, callback done, instant now)
     {
-        busy_since_ = open_.empty() ? now : busy_since_;
+        busy_since_ = idle() ? now : busy_since_;
         const std::int32_t stream = connection_.request(path, std::move(body));
         if (stream < 0) {
             return false;
@@ -49,11 +49,12 @@
     }
 
     bool closed() const { return connection_.closed(); }
-    bool idle() const { return open_.empty(); }
+    /// Bodies may flow on after their requests have ended.
+    bool idle() const { return connection_.open_streams() == 0; }
 
     void tend(instant now)
     {
-        if (open_.empty() || connection_.closed()) {
+        if (idle() || connection_.closed()) {
             asked_ = false;
             return;
         }
@@ -71,14 +72,14 @@
         asked_ = ask;
     }
 
-    void on_request(std::int32_t, const std::string&, std::string) override {}
+    void on_request(std::int32_t, const std::string&, h2_message) override {}
     void on_request_gone(std::int32_t) override {}
     bool may_take(std::uint64_t) override { return false; }
     void on_closed() override {}
 
-    void on_response(std::int32_t stream, std::string body) override
+    void on_response(std::int32_t stream, h2_message message) override
     {
-        end(stream, peer_result(std::move(body)));
+        end(stream, peer_result(std::move(message)));
     }
     void on_failure(std::int32_t stream, stream_failure failure) override
     {
--- a/lib/transport/peer_server.cpp
+++ b/lib/transport/peer_server.cpp
@@ -18,12 +18,12 @@
 
     h2_connection& connection() { return connection_; }
 
-    void on_request(std::int32_t stream, const std::string& path, std::string body) override
+    void on_request(std::int32_t stream, const std::string& path, h2_message message) override
     {
         const peer_stream_id id(server_.next_stream_++);
         server_.open_[id] = {id_, stream};
         ids_[stream] = id;
-        server_.handlers_.on_request(id, path, std::move(body));
+        server_.handlers_.on_request(id, path, std::move(message));
     }
     void on_request_gone(std::int32_t stream) override
     {
@@ -37,7 +37,7 @@
             server_.handlers_.on_gone(id);
         }
     }
-    void on_response(std::int32_t, std::string) override {}
+    void on_response(std::int32_t, h2_message) override {}
     void on_failure(std::int32_t, stream_failure) override {}
     void on_closed() override { server_.drop(id_); }
     bool may_take(std::uint64_t bytes) override { return server_.handlers_.may_take(bytes); }
--- a/scripts/measure.py
+++ b/scripts/measure.py
@@ -1,4 +1,4 @@
-"""Measures real processes on loopback. Usage: measure.py BUILD latency|in-force|in-force-frozen|control [NODES...]"""
+"""Measures real processes on loopback. Usage: measure.py BUILD latency|upload|in-force|in-force-frozen|control [NODES...]"""
 
 import os
 import shutil
@@ -58,6 +58,31 @@
         return int(file.read().split()[1]) * os.sysconf("SC_PAGE_SIZE") / (1 << 20)
 
 
+def peak_mib(mesh, name):
+    with open(f"/proc/{mesh.processes[name].pid}/status") as file:
+        line = next(l for l in file if l.startswith("VmHWM:"))
+    return int(line.split()[1]) / 1024
+
+
+def upload(mesh):
+    """What an upload of 64 MiB adds to the peak of each node, after small calls have warmed up all."""
+    mesh.start_all()
+    for _, done in mesh.apply_policies():
+        assert done.returncode == 0, done.stderr
+    wait_for("the mesh", mesh.ready)
+    way = ["--node", "127.0.0.1:7401", "--path", "/call/calendar/reference", "--method", "POST",
+           "--labels", "operation=upload", "--keys", "-", "--rate", 2]
+    mesh.load(*way, "--duration", 3000, "--body-bytes", 1 << 10)
+    nodes = ["bookings-1", "calendar-1", "calendar-2"]
+    before = {name: peak_mib(mesh, name) for name in nodes}
+    result = mesh.load(*way, "--duration", 1000, "--body-bytes", 64 << 20)
+    print(f"uploads: {result['outcomes']}")
+    for name in nodes:
+        after = peak_mib(mesh, name)
+        print(f"{name:11s} peak {before[name]:.1f} MiB before, {after:.1f} MiB after, "
+              f"added {after - before[name]:.2f} MiB")
+
+
 def latency(mesh):
     """The same target directly and through two nodes, alternating, at a light steady load."""
     mesh.start_all()
@@ -173,6 +198,8 @@
     try:
         if sys.argv[2] == "latency":
             latency(mesh)
+        elif sys.argv[2] == "upload":
+            upload(mesh)
         elif sys.argv[2] == "in-force":
             in_force(mesh, numbers[0] if numbers else 0)
         elif sys.argv[2] == "in-force-frozen":
--- a/unittests/node/routed_call_test.cpp
+++ b/unittests/node/routed_call_test.cpp
@@ -48,17 +48,21 @@
         step(targets_in_view{view});
     }
 
-    void bring(std::uint64_t exchange, bool idempotent, int most_targets = 2)
+    void bring(std::uint64_t exchange, bool idempotent, int most_targets = 2,
+               const std::shared_ptr<body_source>& flow = nullptr)
     {
         caller_request event;
         event.exchange = exchange_id(exchange);
         event.service = service;
-        event.request = std::make_shared<http_request>();
+        auto request = std::make_shared<http_request>();
+        request->flow = flow;
+        event.request = std::move(request);
         route_terms terms;
         terms.governing.name = "route";
         terms.governing.idempotent = idempotent;
         terms.governing.deadline = millis(2000);
         terms.governing.cross_region = true;
+        terms.governing.max_body = 64U << 20U;
         terms.time_left = client_wait;
         terms.most_targets = most_targets;
         event.route = terms;
@@ -105,6 +109,44 @@
     std::vector<answer_caller> answers_;
 };
 
+TEST_F(routed_call, a_body_that_flows_is_sent_again_only_while_its_first_byte_is_there)
+{
+    see_targets(3);
+    body_writer writer(4U << 20U);
+    bring(1, false, 2, writer.source());
+    reply(outcome::not_run(outcome_reason::overloaded));
+    EXPECT_EQ(sent_.size(), 2U);
+
+    // As much as is kept was read, and more came.
+    body_source& flow = *sent_.back().request->flow;
+    const std::uint64_t reading = flow.restart({});
+    std::string part(flow_capacity, 'x');
+    writer.write(part);
+    flow.read(reading, part.data(), part.size());
+    writer.write("more");
+    ASSERT_FALSE(flow.can_restart());
+    reply(outcome::not_run(outcome_reason::overloaded));
+    EXPECT_EQ(sent_.size(), 2U);
+    ASSERT_EQ(answers_.size(), 1U);
+    EXPECT_EQ(answers_[0].result.kind, outcome_kind::not_run);
+}
+
+TEST_F(routed_call, a_failed_answer_that_flows_is_passed_on)
+{
+    see_targets(2);
+    bring(1, true);
+    body_writer writer(4U << 20U);
+    peer_reply event;
+    event.call = sent_.back().context.call;
+    event.reply.result = outcome::answered();
+    event.reply.answer.status = 500;
+    event.reply.answer.flow = writer.source();
+    step(event);
+    EXPECT_EQ(sent_.size(), 1U);
+    ASSERT_EQ(answers_.size(), 1U);
+    EXPECT_NE(answers_[0].answer.flow, nullptr);
+}
+
 TEST_F(routed_call, goes_to_the_start_of_the_target_that_was_chosen)
 {
     see_targets(2);
--- a/unittests/transport/http_test.cpp
+++ b/unittests/transport/http_test.cpp
@@ -1,86 +1,16 @@
+#include "raw_socket.h"
+
 #include "fescuedyke/transport/http_server.h"
 #include "fescuedyke/transport/target_client.h"
 
 #include <gtest/gtest.h>
 
-#include <arpa/inet.h>
-#include <array>
 #include <deque>
-#include <netinet/in.h>
-#include <sys/socket.h>
 #include <thread>
-#include <unistd.h>
 
 namespace fescuedyke {
 namespace {
 
-/// More than any wait of these tests; reached only when an answer never comes.
-constexpr timeval patience{20, 0};
-
-/// A blocking socket, as a client or a target uses one.
-class raw_socket {
-public:
-    explicit raw_socket(int fd) : fd_(fd)
-    {
-        ::setsockopt(fd_, SOL_SOCKET, SO_RCVTIMEO, &patience, sizeof patience);
-    }
-    raw_socket(raw_socket&& other) noexcept : fd_(std::exchange(other.fd_, -1)) {}
-    ~raw_socket() { close(); }
-
-    static raw_socket connect(std::uint16_t port)
-    {
-        const int fd = ::socket(AF_INET, SOCK_STREAM, 0);
-        sockaddr_in a{};
-        a.sin_family = AF_INET;
-        a.sin_port = htons(port);
-        ::inet_pton(AF_INET, "127.0.0.1", &a.sin_addr);
-        EXPECT_EQ(::connect(fd, reinterpret_cast<sockaddr*>(&a), sizeof a), 0);
-        return raw_socket(fd);
-    }
-
-    void send(const std::string& bytes) const
-    {
-        EXPECT_EQ(::send(fd_, bytes.data(), bytes.size(), MSG_NOSIGNAL),
-                  static_cast<ssize_t>(bytes.size()));
-    }
-
-    /// Reads until \p mark has come or the other side has closed.
-    std::string read_until(const std::string& mark)
-    {
-        std::array<char, 4096> part{};
-        while (read_.find(mark) == std::string::npos) {
-            const ssize_t got = ::recv(fd_, part.data(), part.size(), 0);
-            if (got <= 0) {
-                break;
-            }
-            read_.append(part.data(), static_cast<std::size_t>(got));
-        }
-        return std::exchange(read_, "");
-    }
-
-    std::string read_to_end() { return read_until("\x01never\x01"); }
-
-    void close()
-    {
-        if (fd_ >= 0) {
-            ::close(fd_);
-            fd_ = -1;
-        }
-    }
-
-    /// Breaks the connection off with a reset.
-    void reset()
-    {
-        const linger at_once{1, 0};
-        ::setsockopt(fd_, SOL_SOCKET, SO_LINGER, &at_once, sizeof at_once);
-        close();
-    }
-
-private:
-    int fd_;
-    std::string read_;
-};
-
 http_answer text_answer(const std::string& text)
 {
     http_answer answer;
--- a/unittests/transport/peer_silence_test.cpp
+++ b/unittests/transport/peer_silence_test.cpp
@@ -59,18 +59,17 @@
     const endpoint address{"127.0.0.1", 27313};
     std::unique_ptr<peer_server> server;
     server = std::make_unique<peer_server>(
-        loop_,
-        peer_server::handlers{[&](peer_stream_id id, const std::string&, const std::string&) {
-                                  loop_.after(millis(4000), [&server, id] {
-                                      server->respond(id, {"late", nullptr});
-                                  });
-                              },
-                              [](peer_stream_id) {}, [](std::uint64_t) { return true; }});
+        loop_, peer_server::handlers{[&](peer_stream_id id, const std::string&, const h2_message&) {
+                                         loop_.after(millis(4000), [&server, id] {
+                                             server->respond(id, {"late", nullptr});
+                                         });
+                                     },
+                                     [](peer_stream_id) {}, [](std::uint64_t) { return true; }});
     ASSERT_TRUE(server->listen(address).ok());
     const std::optional<peer_result> result = send(address);
     ASSERT_TRUE(result.has_value());
-    ASSERT_TRUE(std::holds_alternative<std::string>(*result));
-    EXPECT_EQ(std::get<std::string>(*result), "late");
+    ASSERT_TRUE(std::holds_alternative<h2_message>(*result));
+    EXPECT_EQ(std::get<h2_message>(*result).bytes, "late");
 }
 
 } // namespace
