Wait for the rest of a chunk's announcement instead of trying for ever

Cause: the connection took a body that flows in a loop until its buffer was empty; a chunk whose size had come only in part leaves bytes that cannot be read yet, and the node span in that loop. Seen by ctest: transport hung at a full core in flow.an_upload_of_unknown_length_goes_in_chunks, stack in http_connection take_body.

--- a/lib/transport/http_connection.cpp
+++ b/lib/transport/http_connection.cpp
@@ -164,7 +164,9 @@
 {
     while (fd_ >= 0 && wants_bytes() && !in_.empty()) {
         if (incoming_) {
-            take_body();
+            if (!take_body()) {
+                break;
+            }
             continue;
         }
         if (!reading_) {
@@ -212,18 +214,21 @@
     hand_over(std::move(request));
 }
 
-void http_server::connection::take_body()
+bool http_server::connection::take_body()
 {
+    const std::size_t before = in_.size();
     const read_progress progress = reader_.read(in_);
     if (progress == read_progress::failed) {
         break_flow(reader_.error_status());
-        return;
+        return false;
     }
     incoming_->write(reader_.take_body_part());
     if (progress == read_progress::complete) {
         end_flow();
         flush();
+        return true;
     }
+    return in_.size() < before;
 }
 
 void http_server::connection::break_flow(int status)
--- a/lib/transport/http_connection.h
+++ b/lib/transport/http_connection.h
@@ -50,7 +50,8 @@
     void take_requests();
     /// Hands a request over whose body follows.
     void begin_flow(read_progress progress);
-    void take_body();
+    /// Returns whether there may be more to take from what has come.
+    bool take_body();
     /// The rest of a body cannot be read. Its request is answered with \p status, unless it was
     /// answered before.
     void break_flow(int status);
--- a/unittests/transport/flow_test.cpp
+++ b/unittests/transport/flow_test.cpp
@@ -213,6 +213,22 @@
     EXPECT_GT(got.size(), 3 * piece.size());
 }
 
+TEST_F(flow, a_chunk_that_is_announced_in_pieces_is_waited_for)
+{
+    std::string got;
+    play([&](raw_socket& c) {
+        got = c.read_until("\r\n0\r\n\r\n");
+        c.send(ok);
+    });
+    raw_socket c = raw_socket::connect(caller_port);
+    c.send("POST /up HTTP/1.1\r\nHost: a\r\nTransfer-Encoding: chunked\r\n\r\n");
+    c.send("100000\r\n" + pattern(1U << 20U) + "\r\n1");
+    std::this_thread::sleep_for(std::chrono::milliseconds(100));
+    c.send("0\r\n0123456789abcdef\r\n0\r\n\r\n");
+    EXPECT_NE(c.read_until("done").find("200 OK"), std::string::npos);
+    EXPECT_NE(got.find("0123456789abcdef"), std::string::npos);
+}
+
 TEST_F(flow, an_early_answer_reaches_the_caller_and_the_rest_of_the_body_the_target)
 {
     const std::string body = pattern(8U << 20U);
