Show counters and latency histograms on a metrics address

Calls by service, route, class, outcome, reason and class of status; times of calls and of the target; attempts sent and sent again; replies; gauges of connections, dropped log lines, held bytes, version in force, role, term and disk. Labels are bounded; beyond 200 sets of values a family counts under other.

--- a/include/fescuedyke/daemon/control_runtime.h
+++ b/include/fescuedyke/daemon/control_runtime.h
@@ -3,6 +3,7 @@
 
 #include "fescuedyke/control/control_core.h"
 #include "fescuedyke/logging/dependency_log.h"
+#include "fescuedyke/metrics/metric_registry.h"
 #include "fescuedyke/settings/process_settings.h"
 #include "fescuedyke/storage/posix_file_system.h"
 #include "fescuedyke/subscription/config_subscriber.h"
@@ -32,7 +33,8 @@
 
     /// \p to_node hands events to the traffic thread.
     control_runtime(const process_settings& settings, event_loop& loop, random_source& random,
-                    std::uint64_t epoch, std::function<void(node_event)> to_node,
+                    std::uint64_t epoch, metric_registry& metrics,
+                    std::function<void(node_event)> to_node,
                     std::function<void(const route_document&)> on_document = {});
     ~control_runtime();
 
@@ -67,6 +69,7 @@
     void carry_out(const subscriber_output& output);
     void note_dependencies();
     void note_member();
+    void note_metrics();
     void send_account(const account_report& report, const std::string& member,
                       std::function<void()> done);
     void handle(const control_event& event);
@@ -97,6 +100,8 @@
     std::uint64_t next_change_ = 1;
     account_report last_account_;
     stored_member found_;
+    gauge_family metrics_;
+    instant metrics_noted_;
     dependency_log disk_log_{"member-disk"};
     dependency_log accounts_log_{"account-book"};
     /// What the log was last told of.
--- a/include/fescuedyke/daemon/daemon.h
+++ b/include/fescuedyke/daemon/daemon.h
@@ -3,6 +3,7 @@
 
 #include "fescuedyke/daemon/control_runtime.h"
 #include "fescuedyke/daemon/edge_dialect.h"
+#include "fescuedyke/daemon/metrics_server.h"
 #include "fescuedyke/daemon/traffic_runtime.h"
 #include "fescuedyke/settings/process_settings.h"
 #include "fescuedyke/support/clock.h"
@@ -68,6 +69,7 @@
     event_loop control_loop_;
     http_server http_;
     own_dialect dialect_;
+    metrics_server metrics_{traffic_loop_};
     std::unique_ptr<traffic_runtime> traffic_;
     std::unique_ptr<control_runtime> control_;
 };
--- a/include/fescuedyke/daemon/traffic_runtime.h
+++ b/include/fescuedyke/daemon/traffic_runtime.h
@@ -4,6 +4,8 @@
 #include "fescuedyke/control/messages.h"
 #include "fescuedyke/daemon/decision_log.h"
 #include "fescuedyke/daemon/edge_dialect.h"
+#include "fescuedyke/daemon/traffic_metrics.h"
+#include "fescuedyke/membership/target_register.h"
 #include "fescuedyke/metrics/time_summary.h"
 #include "fescuedyke/node/node_core.h"
 #include "fescuedyke/transport/event_loop.h"
@@ -33,9 +35,9 @@
 /// All functions belong to the traffic thread.
 class traffic_runtime {
 public:
-    /// \p dialect and \p http must outlive the runtime.
+    /// \p dialect, \p metrics and \p http must outlive the runtime.
     traffic_runtime(const node_settings& settings, event_loop& loop, http_server& http,
-                    const edge_dialect& dialect, random_source& random,
+                    const edge_dialect& dialect, random_source& random, metric_registry& metrics,
                     traffic_listeners listeners);
     ~traffic_runtime();
 
@@ -47,6 +49,9 @@
     /// The target announced itself at \p address.
     void on_announced(const target_announced& event, const endpoint& address);
 
+    /// The target reported itself; it is taken to be gone after \p lease without another report.
+    void on_reported(const target_report& report, millis lease);
+
     /// Lets open calls end, for at most \p limit, and then calls \p done.
     void stop(millis limit, std::function<void()> done);
 
@@ -68,6 +73,7 @@
     void carry_out(const hand_over_records& action);
     void on_peer_request(peer_stream_id stream, const std::string& path, const h2_message& message);
     void on_tick();
+    void note_gauges();
     void publish_record();
     void publish_account_if_due(instant now);
     void publish_account();
@@ -101,8 +107,9 @@
     struct open_request {
         instant since;
         std::string id;
-        service_name service;
+        call_labels labels;
     };
+    traffic_metrics metrics_;
     decision_log decisions_;
     std::map<exchange_id, open_request> callers_since_;
     /// Requests that peers sent, until the reply.
--- /dev/null
+++ b/include/fescuedyke/metrics/metric_registry.h
@@ -0,0 +1,109 @@
+#ifndef FESCUEDYKE_METRICS_METRIC_REGISTRY_H
+#define FESCUEDYKE_METRICS_METRIC_REGISTRY_H
+
+#include "fescuedyke/support/time.h"
+
+#include <functional>
+#include <map>
+#include <memory>
+#include <string>
+#include <vector>
+
+/// \file
+/// Counters, gauges and latency histograms in the text exposition format, by prometheus-cpp. Labels
+/// are bounded: values beyond a family's bound are counted together as "other".
+
+namespace fescuedyke {
+
+/// All metrics of a process. Families may be used on different threads.
+class metric_registry {
+public:
+    metric_registry();
+    ~metric_registry();
+    metric_registry(const metric_registry&) = delete;
+    metric_registry& operator=(const metric_registry&) = delete;
+
+    /// Returns all metrics in the text exposition format.
+    std::string text() const;
+
+private:
+    friend class counter_family;
+    friend class gauge_family;
+    friend class histogram_family;
+    struct impl;
+
+    std::unique_ptr<impl> impl_;
+};
+
+/// Names of a family's labels, or one value for each of them.
+using label_list = std::vector<std::string>;
+
+/// What all families have in common. A family belongs to one thread.
+struct family_description {
+    std::string name;
+    std::string help;
+    label_list labels;
+    /// Different sets of values that are told apart.
+    std::size_t most_series = 200;
+};
+
+/// Finds the metric of a set of values; makes it the first time.
+template <class Metric> class series_table {
+public:
+    using maker = std::function<Metric&(const std::map<std::string, std::string>&)>;
+
+    series_table(family_description description, maker make);
+    Metric& at(const label_list& values);
+
+private:
+    family_description description_;
+    maker make_;
+    std::map<label_list, Metric*> series_;
+};
+
+class counter_family {
+public:
+    counter_family(metric_registry& registry, const family_description& description);
+    ~counter_family();
+    counter_family(const counter_family&) = delete;
+    counter_family& operator=(const counter_family&) = delete;
+
+    void add(const label_list& values, double by = 1);
+
+private:
+    struct impl;
+    std::unique_ptr<impl> impl_;
+};
+
+class gauge_family {
+public:
+    gauge_family(metric_registry& registry, const family_description& description);
+    ~gauge_family();
+    gauge_family(const gauge_family&) = delete;
+    gauge_family& operator=(const gauge_family&) = delete;
+
+    void set(const label_list& values, double value);
+
+private:
+    struct impl;
+    std::unique_ptr<impl> impl_;
+};
+
+/// Times are shown in seconds.
+class histogram_family {
+public:
+    histogram_family(metric_registry& registry, const family_description& description);
+    ~histogram_family();
+    histogram_family(const histogram_family&) = delete;
+    histogram_family& operator=(const histogram_family&) = delete;
+
+    void observe(const label_list& values, millis time);
+
+private:
+    struct impl;
+    std::unique_ptr<impl> impl_;
+};
+
+} // namespace fescuedyke
+
+#endif
--- a/include/fescuedyke/settings/process_settings.h
+++ b/include/fescuedyke/settings/process_settings.h
@@ -41,6 +41,8 @@
     endpoint http;
     /// Where other nodes reach it.
     endpoint peer;
+    /// Where metrics are read, if anywhere.
+    std::optional<endpoint> metrics;
     std::vector<member_address> members;
     /// Whether this process is one of the members.
     bool is_member = false;
--- a/lib/daemon/control_runtime.cpp
+++ b/lib/daemon/control_runtime.cpp
@@ -15,6 +15,7 @@
 constexpr millis subscriber_tick_period{25};
 constexpr millis member_tick_period{20};
 constexpr millis last_word_limit{2000};
+constexpr millis metrics_period{1000};
 constexpr std::uint64_t most_control_bytes = 64ULL << 20U;
 
 constexpr const char* consensus_path = "/consensus";
@@ -52,11 +53,13 @@
 
 control_runtime::control_runtime(const process_settings& settings, event_loop& loop,
                                  random_source& random, std::uint64_t epoch,
-                                 std::function<void(node_event)> to_node,
+                                 metric_registry& metrics, std::function<void(node_event)> to_node,
                                  std::function<void(const route_document&)> on_document)
     : settings_(settings), loop_(loop), random_(random), epoch_(epoch),
       to_node_(std::move(to_node)), on_document_(std::move(on_document)),
-      subscriber_(subscriber_settings_of(settings), seeds_of(settings)), peers_(loop)
+      subscriber_(subscriber_settings_of(settings), seeds_of(settings)), peers_(loop),
+      metrics_(metrics,
+               {"fescuedyke_control", "What the process knows of the control group.", {"what"}})
 {
 }
 
@@ -161,6 +164,7 @@
     loop_.after(subscriber_tick_period, [this] { on_subscriber_tick(); });
     carry_out(subscriber_.tick(loop_.now().now));
     note_dependencies();
+    note_metrics();
 }
 
 void control_runtime::note_dependencies()
@@ -249,6 +253,32 @@
     note_member();
     disk_log_.note(core_->disk());
     accounts_log_.note(core_->accounts_written());
+    note_metrics();
+}
+
+void control_runtime::note_metrics()
+{
+    const instant now = loop_.now().now;
+    if (now - metrics_noted_ < metrics_period) {
+        return;
+    }
+    metrics_noted_ = now;
+    metrics_.set({"polls_sent"}, static_cast<double>(polls_sent_));
+    metrics_.set({"poll_bytes_sent"}, static_cast<double>(poll_bytes_sent_));
+    metrics_.set({"poll_bytes_received"}, static_cast<double>(poll_bytes_received_));
+    metrics_.set({"configuration_version"}, static_cast<double>(subscriber_.version().value()));
+    metrics_.set({"configuration_fresh"}, subscriber_.is_fresh(now) ? 1 : 0);
+    if (!core_) {
+        return;
+    }
+    const raft_core& raft = core_->raft();
+    metrics_.set({"leads"}, raft.role() == raft_role::leader ? 1 : 0);
+    metrics_.set({"term"}, static_cast<double>(raft.term().value()));
+    metrics_.set({"commit_index"}, static_cast<double>(raft.commit_index().value()));
+    metrics_.set({"members"}, static_cast<double>(raft.log().members().size()));
+    metrics_.set({"document_version"}, static_cast<double>(core_->state().document().version));
+    metrics_.set({"disk_ok"}, core_->disk().ok() ? 1 : 0);
+    metrics_.set({"accounts_written"}, core_->accounts_written().ok() ? 1 : 0);
 }
 
 void control_runtime::handle(const control_event& event)
--- a/lib/daemon/daemon.cpp
+++ b/lib/daemon/daemon.cpp
@@ -91,7 +91,8 @@
     // Starts of one instance are ordered by the time of its start.
     const auto start = static_cast<std::uint64_t>(clock_.read().wall.since_origin());
     control_ = std::make_unique<control_runtime>(
-        settings_, control_loop_, control_random_, start, [this](node_event event) {
+        settings_, control_loop_, control_random_, start, metrics_.registry(),
+        [this](node_event event) {
             traffic_loop_.post([this, event = std::move(event)] { traffic_->handle(event); });
         });
     traffic_listeners listeners;
@@ -104,7 +105,7 @@
     };
     traffic_ = std::make_unique<traffic_runtime>(node_settings_of(settings_, incarnation(start)),
                                                  traffic_loop_, http_, dialect_, traffic_random_,
-                                                 std::move(listeners));
+                                                 metrics_.registry(), std::move(listeners));
 }
 
 daemon_process::~daemon_process() = default;
@@ -122,6 +123,9 @@
     if (absl::Status started = http_.listen(settings_.http); !started.ok()) {
         return started;
     }
+    if (absl::Status started = metrics_.listen(settings_.metrics); !started.ok()) {
+        return started;
+    }
     std::thread traffic([this] { traffic_loop_.run(); });
     std::thread control([this] { control_loop_.run(); });
     write_log(log_level::info, "started",
--- /dev/null
+++ b/lib/daemon/traffic_metrics.cpp
@@ -0,0 +1,74 @@
+#include "fescuedyke/daemon/traffic_metrics.h"
+
+namespace fescuedyke {
+
+namespace {
+
+constexpr int statuses_in_class = 100;
+
+/// The class of a status, such as "2xx"; statuses themselves would be unbounded labels.
+std::string status_class(int status)
+{
+    return status > 0 ? std::to_string(status / statuses_in_class) + "xx" : "none";
+}
+
+} // namespace
+
+traffic_metrics::traffic_metrics(metric_registry& registry)
+    : calls_(registry, {"fescuedyke_calls_total",
+                        "Callers' requests that got an outcome here.",
+                        {"service", "route", "class", "outcome", "reason", "status"}}),
+      call_times_(registry, {"fescuedyke_call_seconds",
+                             "From a caller's request to its outcome.",
+                             {"service", "route", "outcome"}}),
+      attempts_(registry, {"fescuedyke_attempts_total",
+                           "Attempts sent to targets' nodes, by whether others went before.",
+                           {"service", "again"}}),
+      replies_(registry, {"fescuedyke_replies_total",
+                          "Replies to other nodes about calls to the target of this one.",
+                          {"service", "outcome", "reason"}}),
+      target_times_(registry, {"fescuedyke_target_seconds",
+                               "From a call's dispatch to the answer of the target.",
+                               {"service"}}),
+      open_(registry, {"fescuedyke_open_calls", "Calls that have no outcome yet.", {"side"}}),
+      state_(registry, {"fescuedyke_node", "Other figures of the node.", {"what"}})
+{
+}
+
+void traffic_metrics::on_answered(const call_labels& call, const outcome& result, int status,
+                                  millis took)
+{
+    calls_.add({call.service.value(), call.route, call.priority, to_string(result.kind),
+                to_string(result.reason), status_class(status)});
+    call_times_.observe({call.service.value(), call.route, to_string(result.kind)}, took);
+}
+
+void traffic_metrics::on_sent(const service_name& service, bool again)
+{
+    attempts_.add({service.value(), again ? "yes" : "no"});
+}
+
+void traffic_metrics::on_replied(const service_name& service, const outcome& result)
+{
+    replies_.add({service.value(), to_string(result.kind), to_string(result.reason)});
+}
+
+void traffic_metrics::on_target_answered(const service_name& service, millis took)
+{
+    target_times_.observe({service.value()}, took);
+}
+
+void traffic_metrics::note(const traffic_gauges& gauges)
+{
+    open_.set({"outbound"}, static_cast<double>(gauges.open_outbound));
+    open_.set({"inbound"}, static_cast<double>(gauges.open_inbound));
+    state_.set({"peer_connections"}, static_cast<double>(gauges.peer_connections));
+    state_.set({"target_connections_made"}, static_cast<double>(gauges.target_connections_made));
+    state_.set({"decision_lines_suppressed"},
+               static_cast<double>(gauges.decision_lines_suppressed));
+    state_.set({"log_lines_dropped"}, static_cast<double>(gauges.log_lines_dropped));
+    state_.set({"body_bytes_held"}, static_cast<double>(gauges.body_bytes_held));
+    state_.set({"target_ready"}, gauges.target_ready ? 1 : 0);
+}
+
+} // namespace fescuedyke
--- a/lib/daemon/traffic_runtime.cpp
+++ b/lib/daemon/traffic_runtime.cpp
@@ -38,7 +38,7 @@
 
 traffic_runtime::traffic_runtime(const node_settings& settings, event_loop& loop, http_server& http,
                                  const edge_dialect& dialect, random_source& random,
-                                 traffic_listeners listeners)
+                                 metric_registry& metrics, traffic_listeners listeners)
     : settings_(settings), loop_(loop), http_(http), dialect_(dialect),
       listeners_(std::move(listeners)), core_(settings, random), peers_(loop),
       server_(loop, {[this](peer_stream_id stream, const std::string& path, const h2_message& m) {
@@ -52,7 +52,8 @@
                          const std::uint64_t held = admission ? admission->bytes_held() : 0;
                          return held + bytes <= settings_.memory_bytes;
                      }}),
-      target_(loop), decisions_({}, [](const std::string& event, const nlohmann::json& details) {
+      target_(loop), metrics_(metrics),
+      decisions_({}, [](const std::string& event, const nlohmann::json& details) {
           write_log(log_level::info, event, details);
       })
 {
@@ -82,13 +83,19 @@
 void traffic_runtime::note_times(const node_event& event, instant now)
 {
     if (const auto* request = std::get_if<caller_request>(&event)) {
+        call_labels labels{request->service, "", ""};
+        if (request->route) {
+            labels.route = request->route->governing.name;
+            labels.priority = to_string(request->route->governing.cls);
+        }
         callers_since_[request->exchange] = {now, dialect_.request_id(*request->request),
-                                             request->service};
+                                             std::move(labels)};
     }
     if (const auto* answered = std::get_if<target_answered>(&event)) {
         const auto found = dispatched_since_.find(answered->call);
         if (found != dispatched_since_.end()) {
             target_times_.add(now - found->second);
+            metrics_.on_target_answered(target_info_.service, now - found->second);
             dispatched_since_.erase(found);
         }
     }
@@ -105,6 +112,18 @@
     publish_record();
 }
 
+void traffic_runtime::on_reported(const target_report& report, millis lease)
+{
+    target_announced event;
+    event.service = report.service;
+    event.identity = report.identity;
+    event.target_incarnation = report.started;
+    event.slots = report.slots;
+    event.lease = lease;
+    event.warm_up = report.warm_up;
+    on_announced(event, report.address);
+}
+
 void traffic_runtime::on_tick()
 {
     loop_.after(core_.idle() ? idle_tick_period : tick_period, [this] { on_tick(); });
@@ -115,11 +134,26 @@
     }
     if (at.now - last_account_ >= account_period) {
         last_account_ = at.now;
+        note_gauges();
         publish_account_if_due(at.now);
     }
     check_stopped();
 }
 
+void traffic_runtime::note_gauges()
+{
+    traffic_gauges gauges;
+    gauges.open_outbound = core_.outbound().open_calls();
+    gauges.open_inbound = core_.inbound().open_calls();
+    gauges.peer_connections = peers_.connections();
+    gauges.target_connections_made = target_.connections_made();
+    gauges.decision_lines_suppressed = decisions_.suppressed();
+    gauges.log_lines_dropped = log_lines_dropped();
+    gauges.body_bytes_held = http_.held_bytes();
+    gauges.target_ready = target_was_ready_;
+    metrics_.note(gauges);
+}
+
 void traffic_runtime::publish_record()
 {
     const inbound_calls& inbound = core_.inbound();
@@ -284,7 +318,7 @@
         action.result.kind == outcome_kind::answered && action.answer.status < least_failure_status;
     if (logs(open.id, good ? decision_kind::usual : decision_kind::trouble)) {
         decisions_.write("answered", open.id,
-                         {{"service", open.service.value()},
+                         {{"service", open.labels.service.value()},
                           {"outcome", to_string(action.result.kind)},
                           {"reason", to_string(action.result.reason)},
                           {"status", action.answer.status},
@@ -321,7 +355,9 @@
 {
     const auto since = callers_since_.find(action.exchange);
     if (since != callers_since_.end()) {
-        call_times_.add(loop_.now().now - since->second.since);
+        const millis took = loop_.now().now - since->second.since;
+        call_times_.add(took);
+        metrics_.on_answered(since->second.labels, action.result, action.answer.status, took);
         log_answer(action);
         callers_since_.erase(since);
     }
@@ -331,6 +367,7 @@
 void traffic_runtime::carry_out(const send_call& action)
 {
     log_sent(action);
+    metrics_.on_sent(action.context.service, action.context.attempt > 0);
     const call_id call = action.context.call;
     const int attempt = action.context.attempt;
     frame body{encode_call_head(action.context, *action.request), action.request->body,
@@ -391,6 +428,7 @@
 {
     if (const auto* stream = std::get_if<exchange_id>(&action.to)) {
         log_reply(action);
+        metrics_.on_replied(target_info_.service, action.reply.result);
         peers_requests_.erase(*stream);
         server_.respond(
             peer_stream_id(stream->value()),
--- /dev/null
+++ b/lib/metrics/metric_registry.cpp
@@ -0,0 +1,138 @@
+#include "fescuedyke/metrics/metric_registry.h"
+
+#include <cassert>
+#include <prometheus/counter.h>
+#include <prometheus/gauge.h>
+#include <prometheus/histogram.h>
+#include <prometheus/registry.h>
+#include <prometheus/text_serializer.h>
+#include <utility>
+
+namespace fescuedyke {
+
+namespace {
+
+constexpr double ms_per_second = 1000;
+
+/// Upper bounds in seconds, from a call that a node answers itself to the longest deadlines.
+const prometheus::Histogram::BucketBoundaries& time_buckets()
+{
+    static const prometheus::Histogram::BucketBoundaries buckets = {
+        0.001, 0.0025, 0.005, 0.01, 0.025, 0.05, 0.1, 0.25, 0.5, 1, 2.5, 5, 10};
+    return buckets;
+}
+
+} // namespace
+
+struct metric_registry::impl {
+    prometheus::Registry registry;
+};
+
+metric_registry::metric_registry() : impl_(std::make_unique<impl>()) {}
+
+metric_registry::~metric_registry() = default;
+
+std::string metric_registry::text() const
+{
+    return prometheus::TextSerializer().Serialize(impl_->registry.Collect());
+}
+
+template <class Metric>
+series_table<Metric>::series_table(family_description description, maker make)
+    : description_(std::move(description)), make_(std::move(make))
+{
+}
+
+template <class Metric> Metric& series_table<Metric>::at(const label_list& values)
+{
+    assert(values.size() == description_.labels.size() && "each label has a value");
+    const auto found = series_.find(values);
+    if (found != series_.end()) {
+        return *found->second;
+    }
+    const label_list other(values.size(), "other");
+    if (series_.size() >= description_.most_series && values != other) {
+        return at(other);
+    }
+    std::map<std::string, std::string> labels;
+    for (std::size_t i = 0; i < values.size(); ++i) {
+        labels[description_.labels[i]] = values[i];
+    }
+    Metric& made = make_(labels);
+    series_[values] = &made;
+    return made;
+}
+
+struct counter_family::impl {
+    series_table<prometheus::Counter> series;
+};
+
+counter_family::counter_family(metric_registry& registry, const family_description& description)
+{
+    auto& family = prometheus::BuildCounter()
+                       .Name(description.name)
+                       .Help(description.help)
+                       .Register(registry.impl_->registry);
+    impl_ = std::make_unique<impl>(impl{
+        {description, [&family](const auto& labels) -> auto& { return family.Add(labels);
+}
+} // namespace fescuedyke
+});
+}
+
+counter_family::~counter_family() = default;
+
+void counter_family::add(const label_list& values, double by)
+{
+    impl_->series.at(values).Increment(by);
+}
+
+struct gauge_family::impl {
+    series_table<prometheus::Gauge> series;
+};
+
+gauge_family::gauge_family(metric_registry& registry, const family_description& description)
+{
+    auto& family = prometheus::BuildGauge()
+                       .Name(description.name)
+                       .Help(description.help)
+                       .Register(registry.impl_->registry);
+    impl_ = std::make_unique<impl>(impl{
+        {description, [&family](const auto& labels) -> auto& { return family.Add(labels);
+}
+}
+});
+}
+
+gauge_family::~gauge_family() = default;
+
+void gauge_family::set(const label_list& values, double value)
+{
+    impl_->series.at(values).Set(value);
+}
+
+struct histogram_family::impl {
+    series_table<prometheus::Histogram> series;
+};
+
+histogram_family::histogram_family(metric_registry& registry, const family_description& description)
+{
+    auto& family = prometheus::BuildHistogram()
+                       .Name(description.name)
+                       .Help(description.help)
+                       .Register(registry.impl_->registry);
+    impl_ = std::make_unique<impl>(impl{{description, [&family](const auto& labels) -> auto& {
+                                             return family.Add(labels, time_buckets());
+}
+}
+});
+}
+
+histogram_family::~histogram_family() = default;
+
+void histogram_family::observe(const label_list& values, millis time)
+{
+    impl_->series.at(values).Observe(static_cast<double>(time.count()) / ms_per_second);
+}
+
+} // namespace fescuedyke
--- a/lib/settings/process_settings.cpp
+++ b/lib/settings/process_settings.cpp
@@ -140,6 +140,9 @@
     yaml_mapping listen = document.child("listen");
     read_endpoint(listen, "http", settings.http);
     read_endpoint(listen, "peer", settings.peer);
+    if (!listen.text("metrics", "").empty()) {
+        read_endpoint(listen, "metrics", settings.metrics.emplace());
+    }
     listen.reject_unknown_keys();
     read_control(document.child("control"), faults, settings);
     read_operators(document, faults, settings);
--- a/scripts/demo.py
+++ b/scripts/demo.py
@@ -5,6 +5,7 @@
 import shutil
 import sys
 import time
+import urllib.request
 
 from mesh import ROOT, Mesh, wait_for
 
@@ -83,6 +84,15 @@
     return sum(r[field] for r in rows)
 
 
+def metric_total(port, name, **labels):
+    """Sum of a metric's series that have these labels."""
+    with urllib.request.urlopen(f"http://127.0.0.1:{port}/metrics") as answer:
+        lines = answer.read().decode().splitlines()
+    wanted = [f'{label}="{value}"' for label, value in labels.items()]
+    return sum(float(line.rsplit(" ", 1)[1]) for line in lines
+               if line.startswith(name + "{") and all(w in line for w in wanted))
+
+
 def settled(mesh):
     account = mesh.ctl_json("inkwell", "account", "inkwell")
     return account["rows"] and all(r["in_progress"] == 0 for r in account["rows"])
@@ -126,6 +136,11 @@
             print(mesh.ctl(owner, "account", owner).stdout.rstrip())
             expect(f"{owner}: received = answered + not run + unknown + in progress",
                    mesh.ctl_json(owner, "account", owner)["conserved"])
+        shown = sum(metric_total(port, "fescuedyke_target_seconds_count", service="fees")
+                    for port in [7447, 7457])
+        answered = account_total(mesh, "chenab", "served", "fees", "answered")
+        expect("fees: answers in the metrics = answered in the account", shown == answered,
+               f"{shown:.0f} and {answered}")
         private = mesh.ctl("inkwell", "policy", "get", "fees", "--owner", "chenab")
         expect("a neighbour's private policy cannot be read", private.returncode == 1)
         neighbour = mesh.ctl("inkwell", "account", "chenab")
--- a/tools/fescuedyke/main.cpp
+++ b/tools/fescuedyke/main.cpp
@@ -43,18 +43,22 @@
     fescuedyke::end_process(0);
 }
 
-int run_on_platform(const std::string& role)
+int run_on_platform(const options::variables_map& given)
 {
+    const std::string role = given["platform"].as<std::string>();
     if (role != "node" && role != "member") {
         std::cerr << "platform: must be node or member\n";
         return fescuedyke::usage_exit_code;
     }
-    const absl::StatusOr<fescuedyke::platform::settings> settings =
-        fescuedyke::platform::load_settings();
+    absl::StatusOr<fescuedyke::platform::settings> settings = fescuedyke::platform::load_settings();
     if (!settings.ok()) {
         std::cerr << settings.status().message() << "\n";
         return fescuedyke::usage_exit_code;
     }
+    if (given.count("metrics") != 0) {
+        settings->process.metrics =
+            fescuedyke::endpoint{settings->process.peer.host, given["metrics"].as<std::uint16_t>()};
+    }
     fescuedyke::start_log(settings->process.instance.value(), settings->process.log_level);
     const std::uint64_t seed = std::random_device{}();
     fescuedyke::write_log(fescuedyke::log_level::info, "seed", {{"seed", seed}});
@@ -79,6 +83,8 @@
     add("check", "only check the settings and print every fault with its line");
     add("platform", options::value<std::string>(),
         "run on the users' platform as 'node' or 'member'; it tells where the settings are");
+    add("metrics", options::value<std::uint16_t>(),
+        "on the users' platform, the port where metrics are read");
     add("seed", options::value<std::uint64_t>(), "seed of the random numbers");
     const auto parsed = fescuedyke::parse_command_line(argc, argv, description);
     if (!parsed) {
@@ -90,7 +96,7 @@
         return 0;
     }
     if (given.count("platform") != 0) {
-        return run_on_platform(given["platform"].as<std::string>());
+        return run_on_platform(given);
     }
     if (given.count("config") == 0) {
         std::cerr << "config: is missing\n" << description;
