Take an answer whose body comes after its head

Before: target_client_test.a_body_that_comes_after_its_head_belongs_to_the_answer gets 'truncated'; after: the answer.

--- a/lib/transport/http_codec.cpp
+++ b/lib/transport/http_codec.cpp
@@ -9,6 +9,7 @@
 
 #include <algorithm>
 #include <cassert>
+#include <limits>
 #include <utility>
 
 namespace fescuedyke {
@@ -25,6 +26,9 @@
 constexpr unsigned least_final_status = 200;
 constexpr std::int64_t ms_per_second = 1000;
 
+/// The parser takes "no limit" for a limit of 0 when a head comes without its body.
+constexpr std::uint64_t no_limit = std::numeric_limits<std::uint64_t>::max();
+
 /// Largest head of a response that is read, in bytes.
 constexpr std::uint32_t answer_head_bytes = 64U << 10U;
 
@@ -217,7 +221,7 @@
     impl_->parser.eager(true);
     impl_->parser.skip(head_request_);
     impl_->parser.header_limit(answer_head_bytes);
-    impl_->parser.body_limit(boost::none);
+    impl_->parser.body_limit(no_limit);
 }
 
 read_progress answer_reader::read(std::string& buffer)
--- a/unittests/transport/http_test.cpp
+++ b/unittests/transport/http_test.cpp
@@ -246,6 +246,17 @@
     expect_body(send("1"), "mine");
 }
 
+TEST_F(target_client_test, a_body_that_comes_after_its_head_belongs_to_the_answer)
+{
+    play({[](raw_socket& c) {
+        c.read_until("\r\n\r\n");
+        c.send("HTTP/1.1 200 OK\r\nId: 1\r\nContent-Length: 4\r\n\r\n");
+        std::this_thread::sleep_for(std::chrono::milliseconds(100));
+        c.send("late");
+    }});
+    expect_body(send("1"), "late");
+}
+
 TEST_F(target_client_test, bytes_after_a_complete_answer_belong_to_no_request)
 {
     play({[](raw_socket& c) {
