--- a/unittests/transport/http_test.cpp
+++ b/unittests/transport/http_test.cpp
@@ -105,8 +105,8 @@
 TEST_F(http_server_test, takes_an_empty_body_in_chunks_byte_by_byte)
 {
     raw_socket c = raw_socket::connect(port);
-    for (const char byte :
-         std::string("POST /x HTTP/1.1\r\nHost: a\r\nTransfer-Encoding: chunked\r\n\r\n0\r\n\r\n")) {
+    for (const char byte : std::string(
+             "POST /x HTTP/1.1\r\nHost: a\r\nTransfer-Encoding: chunked\r\n\r\n0\r\n\r\n")) {
         c.send(std::string(1, byte));
         std::this_thread::sleep_for(std::chrono::milliseconds(2));
     }
