--- a/bench/standin/main.cpp
+++ b/bench/standin/main.cpp
@@ -27,6 +27,8 @@
 struct standin_settings {
     std::string service;
     endpoint address;
+    /// Where the node is told to send calls.
+    endpoint announced;
     endpoint node;
     int slots = 4;
     millis service_time{5};
@@ -96,7 +98,7 @@
             return;
         }
         const json body = {{"service", settings_.service},
-                           {"address", to_string(settings_.address)},
+                           {"address", to_string(settings_.announced)},
                            {"slots", settings_.slots},
                            {"labels", settings_.labels},
                            {"warm_up_ms", settings_.cold_start.count()},
@@ -244,6 +246,7 @@
 {
     standin_settings settings;
     std::string address;
+    std::string announced;
     std::string node;
     std::string labels;
     std::int64_t service_time = 5;
@@ -252,6 +255,7 @@
     auto add = description.add_options();
     add("service", options::value(&settings.service)->required(), "service");
     add("listen", options::value(&address)->required(), "IP:port of the target");
+    add("announce", options::value(&announced), "IP:port that the node is told, if another");
     add("node", options::value(&node)->required(), "IP:port of its node");
     add("slots", options::value(&settings.slots), "calls served at a time");
     add("service-time", options::value(&service_time), "milliseconds");
@@ -263,13 +267,15 @@
         return fescuedyke::usage_exit_code;
     }
     const auto listen = parse_endpoint(address);
+    const auto announced_address = parse_endpoint(announced.empty() ? address : announced);
     const auto node_address = parse_endpoint(node);
     const auto parsed = parse_labels(labels);
-    if (!listen.ok() || !node_address.ok() || !parsed.ok()) {
-        std::cerr << "listen, node or labels: malformed\n";
+    if (!listen.ok() || !announced_address.ok() || !node_address.ok() || !parsed.ok()) {
+        std::cerr << "listen, announce, node or labels: malformed\n";
         return 2;
     }
     settings.address = *listen;
+    settings.announced = *announced_address;
     settings.node = *node_address;
     settings.labels = *parsed;
     settings.service_time = millis(service_time);
