--- a/scripts/soak.py
+++ b/scripts/soak.py
@@ -9,6 +9,7 @@
 import random
 import shutil
 import signal
+import subprocess
 import sys
 import time
 
@@ -33,6 +34,8 @@
         routes.update({port: SERVICE_PORTS[name] + 2 for name, port in TARGETS.items()})
         self.proxies = Proxies(routes)
         self.faults = []
+        # Names of processes that were asked to stop and did not start again.
+        self.asked_to_stop = set()
 
     def expect(self, seed, what, holds, detail=""):
         if not holds:
@@ -56,6 +59,7 @@
         wait_for("the mesh", self.mesh.ready, HEAL_LIMIT)
 
     def start_again(self, name):
+        self.asked_to_stop.discard(name)
         if name.endswith("-target"):
             self.start_target(name[: -len("-target")])
         else:
@@ -83,21 +87,18 @@
             self.mesh.kill(name)
         else:
             process.send_signal(signal.SIGTERM)
+            self.asked_to_stop.add(name)
 
     def heal(self, name):
         process = self.mesh.processes.get(name)
         if process is not None:
             process.send_signal(signal.SIGCONT)
-            if process.poll() is None and not self.stopping(name):
+            if process.poll() is None and name not in self.asked_to_stop:
                 return
             process.wait(HEAL_LIMIT)
             self.mesh.processes.pop(name)
         self.start_again(name)
 
-    def stopping(self, name):
-        """Whether the process was asked to stop: a frozen one has no such signal on its way."""
-        return name in self.asked_to_stop
-
     def load(self, seed, path, rate, file, *more):
         nodes = [f"127.0.0.1:{port}" for port in CALLERS.values()]
         return self.mesh.start_load(
@@ -120,9 +121,8 @@
     def play(self, seed):
         rng = random.Random(seed)
         drawn = [self.draw(rng) for _ in range(FAULTS)]
-        steps = [(at, what, begin) for at, _, what, begin, _ in drawn]
-        steps += [(at + lasts, "end of " + what, end) for at, lasts, what, _, end in drawn]
-        self.asked_to_stop = set()
+        steps = [(at, begin) for at, _, _, begin, _ in drawn]
+        steps += [(at + lasts, end) for at, lasts, _, _, end in drawn]
         print(f"seed {seed}: " + ", ".join(f"{what} at {at:.1f} s for {lasts:.1f} s"
                                            for at, lasts, what, _, _ in sorted(drawn, key=lambda d: d[0])))
         file = f"deposits-{seed}.outcomes"
@@ -130,13 +130,9 @@
                              "--labels", "operation=deposit", "--keys", "-")
         reads = self.load(seed, "/call/bookings/slots", 40, f"reads-{seed}.outcomes")
         begun = time.monotonic()
-        for at, what, step in sorted(steps, key=lambda s: s[0]):
+        for at, step in sorted(steps, key=lambda s: s[0]):
             time.sleep(max(0, at + begun - time.monotonic()))
-            if what.startswith("stop "):
-                self.asked_to_stop.add(what.split()[1])
             step()
-            if what.startswith("end of stop "):
-                self.asked_to_stop.discard(what.split()[3])
         accepted = self.change_policy(seed)
         told = [json.loads(load.communicate(timeout=HEAL_LIMIT)[0])["outcomes"]
                 for load in (deposits, reads)]
@@ -165,7 +161,7 @@
         for seed in [int(s) for s in sys.argv[2:]]:
             try:
                 print(f"  deposits and reads: {soak.play(seed)}", flush=True)
-            except RuntimeError as error:
+            except (RuntimeError, subprocess.TimeoutExpired) as error:
                 soak.expect(seed, str(error), False)
                 break
     finally:
