--- a/bench/fuzz/decoders.cpp
+++ b/bench/fuzz/decoders.cpp
@@ -16,6 +16,7 @@
 #include <absl/strings/str_join.h>
 
 #include <algorithm>
+#include <functional>
 #include <vector>
 
 namespace fescuedyke::fuzz {
@@ -34,6 +35,25 @@
     return text;
 }
 
+/// Gives \p bytes in pieces to \p take, again and again while it takes any of them. Returns false
+/// once it fails.
+bool give_in_pieces(const std::string& bytes, std::size_t step,
+                    const std::function<read_progress(std::string&)>& take)
+{
+    std::string buffer;
+    for (std::size_t at = 0; at < bytes.size(); at += step) {
+        buffer.append(bytes, at, step);
+        std::size_t before = buffer.size() + 1;
+        while (!buffer.empty() && buffer.size() < before) {
+            before = buffer.size();
+            if (take(buffer) == read_progress::failed) {
+                return false;
+            }
+        }
+    }
+    return true;
+}
+
 transcript read_requests(const std::string& bytes, std::size_t step)
 {
     http_limits limits;
@@ -41,26 +61,16 @@
     limits.body_bytes = 4096;
     request_reader reader(limits);
     transcript read;
-    std::string buffer;
-    for (std::size_t at = 0; at < bytes.size();) {
-        const std::size_t count = std::min(step, bytes.size() - at);
-        buffer.append(bytes, at, count);
-        at += count;
-        while (!buffer.empty()) {
-            const std::size_t before = buffer.size();
-            const read_progress progress = reader.read(buffer);
-            if (progress == read_progress::failed) {
-                read.push_back("failed " + std::to_string(reader.error_status()));
-                return read;
-            }
-            if (progress == read_progress::complete) {
-                const http_request r = reader.take();
-                read.push_back(r.method + " " + r.path + " " + show(r.headers) + *r.body);
-            }
-            else if (buffer.size() == before) {
-                break;
-            }
+    const bool good = give_in_pieces(bytes, step, [&](std::string& buffer) {
+        const read_progress progress = reader.read(buffer);
+        if (progress == read_progress::complete) {
+            const http_request r = reader.take();
+            read.push_back(r.method + " " + r.path + " " + show(r.headers) + *r.body);
         }
+        return progress;
+    });
+    if (!good) {
+        read.push_back("failed " + std::to_string(reader.error_status()));
     }
     return read;
 }
@@ -69,27 +79,18 @@
 {
     answer_reader reader;
     transcript read;
-    std::string buffer;
-    for (std::size_t at = 0; at < bytes.size();) {
-        const std::size_t count = std::min(step, bytes.size() - at);
-        buffer.append(bytes, at, count);
-        at += count;
-        while (!buffer.empty()) {
-            const std::size_t before = buffer.size();
-            const read_progress progress = reader.read(buffer);
-            if (progress == read_progress::failed) {
-                read.emplace_back("failed");
-                return read;
-            }
-            if (progress == read_progress::complete) {
-                const http_answer a = reader.take();
-                read.push_back(std::to_string(a.status) + " " + show(a.headers) + *a.body);
-                reader.begin("GET");
-            }
-            else if (buffer.size() == before) {
-                break;
-            }
+    const bool good = give_in_pieces(bytes, step, [&](std::string& buffer) {
+        const read_progress progress = reader.read(buffer);
+        if (progress == read_progress::complete) {
+            const http_answer a = reader.take();
+            read.push_back(std::to_string(a.status) + " " + show(a.headers) + *a.body);
+            reader.begin("GET");
         }
+        return progress;
+    });
+    if (!good) {
+        read.emplace_back("failed");
+        return read;
     }
     read.emplace_back(reader.head_seen() && reader.finish() ? "ends whole" : "ends cut off");
     return read;
