Record that failures of one moment count as failures in a row

Cause, traced from the logs of a demo that failed beside load: after a standstill of about a second a node counted a late poll of the leader and its replies with an old beacon, 50 ms apart, as several failures in a row and left the leader for 8 s; its lease of 3 s ran out, and deposits were refused as not-owner.

--- a/unittests/subscription/config_subscriber_test.cpp
+++ b/unittests/subscription/config_subscriber_test.cpp
@@ -2,6 +2,8 @@
 
 #include <gtest/gtest.h>
 
+#include <algorithm>
+
 namespace fescuedyke {
 namespace {
 
@@ -89,6 +91,23 @@
     }
 }
 
+TEST(config_subscriber, failures_of_one_moment_count_once)
+{
+    // The node itself stood still: both polls are late, and the leader's next word was old.
+    config_subscriber s = make();
+    s.tick(start);
+    const instant awake = start + millis(1100);
+    const auto polls = s.tick(awake).polls;
+    const auto leader = std::find_if(polls.begin(), polls.end(),
+                                     [](const auto& p) { return p.address.host == "m1"; });
+    ASSERT_NE(leader, polls.end());
+    s.on_reply(leader->number, reply_from("m1", 1, millis(1600)), awake + millis(20));
+    // Leases last three seconds, so that the leader must be asked again before.
+    const std::vector<std::string> asked =
+        s.chosen(awake + subscriber_settings{}.avoid + millis(50));
+    EXPECT_NE(std::find(asked.begin(), asked.end(), "m1"), asked.end());
+}
+
 TEST(config_subscriber, a_lease_counts_from_when_it_was_asked_for)
 {
     config_subscriber s = make();
