--- a/unittests/transport/flow_test.cpp
+++ b/unittests/transport/flow_test.cpp
@@ -279,8 +279,8 @@
     raw_socket c = raw_socket::connect(caller_port);
     c.send("POST /up HTTP/1.1\r\nHost: a\r\nTransfer-Encoding: chunked\r\n\r\n");
     c.send("1000000\r\n" + pattern(16U << 20U) + "\r\n");
-    c.send("1000000\r\n" + pattern(4U << 20U));
-    c.send_some(pattern(8U << 20U));
+    // The announcement alone goes over the limit: the connection may be closed while more is sent.
+    c.send_some("1000000\r\n" + pattern(4U << 20U));
     EXPECT_EQ(c.read_until("\r\n\r\n").substr(0, 12), "HTTP/1.1 413");
     join_target();
     EXPECT_EQ(got.find("\r\n0\r\n\r\n"), std::string::npos);
