Report requests whose connection ends before their response

The HTTP server now reports each such connection with the reason, the open requests, the responses not sent completely and the unparsed bytes.

--- a/include/fescuedyke/daemon/traffic_metrics.h
+++ b/include/fescuedyke/daemon/traffic_metrics.h
@@ -5,6 +5,7 @@
 #include "fescuedyke/call/rank.h"
 #include "fescuedyke/metrics/metric_registry.h"
 #include "fescuedyke/support/ids.h"
+#include "fescuedyke/transport/http_server.h"
 
 #include <string>
 
@@ -48,6 +49,8 @@
     void on_replied(const service_name& service, const outcome& result);
     /// Records \p duration, the time from the dispatch of a call to the response of the target.
     void on_target_answered(const service_name& service, millis duration);
+    /// Counts the unanswered requests and the unsent responses of a connection that was cut.
+    void on_connection_cut(const cut_connection& cut);
     void set_gauges(const traffic_gauges& gauges);
 
 private:
@@ -56,6 +59,7 @@
     counter_family attempts_;
     counter_family replies_;
     histogram_family target_times_;
+    counter_family cut_requests_;
     gauge_family open_calls_;
     gauge_family node_gauges_;
 };
--- a/include/fescuedyke/daemon/traffic_runtime.h
+++ b/include/fescuedyke/daemon/traffic_runtime.h
@@ -55,6 +55,13 @@
     /// within \p lease.
     void on_target_report(const target_report& report, millis lease);
 
+    /// Counts and logs a connection of a caller that ended before all of its requests were
+    /// answered.
+    void on_connection_cut(const cut_connection& cut);
+
+    /// Logs \p event with the requests and responses that are not complete yet.
+    void log_open_work(const std::string& event) const;
+
     /// Waits up to \p timeout for open calls and the handover of run records to end, and then calls
     /// \p done.
     void stop(millis timeout, std::function<void()> done);
--- a/include/fescuedyke/transport/h2_connection.h
+++ b/include/fescuedyke/transport/h2_connection.h
@@ -86,6 +86,8 @@
     /// the connection was created.
     instant last_received() const { return last_received_; }
     std::size_t open_streams() const { return streams_.size(); }
+    /// Returns whether bytes taken from open streams wait to be sent.
+    bool has_unsent_bytes() const { return output_offset_ < output_.size(); }
 
 private:
     struct stream_state {
--- a/include/fescuedyke/transport/http_server.h
+++ b/include/fescuedyke/transport/http_server.h
@@ -18,6 +18,39 @@
 
 namespace fescuedyke {
 
+/// Why the server or a client ended a connection.
+enum class connection_end : std::uint8_t {
+    /// The last response was sent, and the request or the server asked to close the connection.
+    last_response,
+    /// The client closed its sending direction or the whole connection.
+    client_closed,
+    /// The connection was reset, or sent data stayed unacknowledged for too long.
+    connection_failed,
+    idle_timeout,
+    /// A part of a streamed request body did not arrive in time.
+    body_timeout,
+    /// The rest of a streamed request body could not be parsed after the request was answered.
+    body_malformed,
+    /// The source of a streamed response body broke off.
+    response_aborted,
+    /// The server was destroyed.
+    server_stopped,
+};
+
+/// Returns the name used in logs and metrics.
+const char* to_string(connection_end reason);
+
+/// A connection that ended before all of its requests were answered completely.
+struct cut_connection {
+    connection_end reason = connection_end::last_response;
+    /// Requests passed to the handler that were not answered.
+    std::size_t open_requests = 0;
+    /// Responses known to the server of which at least one byte was not sent.
+    std::size_t unsent_responses = 0;
+    /// Received bytes of requests that were not parsed.
+    std::size_t unparsed_bytes = 0;
+};
+
 /// Serves HTTP/1.1 on an event loop. Pipelined requests are accepted; the responses of a connection
 /// are sent in the order of its requests.
 class http_server {
@@ -28,6 +61,8 @@
         /// An exchange ended before it was answered, because its connection was closed or the rest
         /// of its request body could not be read.
         std::function<void(exchange_id)> on_cancelled;
+        /// A connection ended before all of its requests were answered. Optional.
+        std::function<void(const cut_connection&)> on_cut = nullptr;
     };
 
     /// Numbers exchanges from \p first_exchange on, so that several servers on one loop can use
@@ -62,6 +97,8 @@
     std::uint64_t buffered_bytes() const { return buffered_bytes_; }
     std::size_t open_exchanges() const { return connection_by_exchange_.size(); }
     std::size_t connections() const { return connections_.size(); }
+    /// Returns the connections whose responses were not sent completely.
+    std::size_t connections_with_unsent_bytes() const;
 
 private:
     class connection;
--- a/include/fescuedyke/transport/peer_server.h
+++ b/include/fescuedyke/transport/peer_server.h
@@ -41,6 +41,11 @@
     /// Sends the response to a request. Does nothing if the request was cancelled.
     void respond(peer_stream_id id, h2_outgoing_message message);
 
+    /// Returns the requests that are not answered, or whose response was not sent completely.
+    std::size_t open_streams() const;
+    /// Returns the connections with bytes that wait to be sent.
+    std::size_t connections_with_unsent_bytes() const;
+
     /// Stops accepting connections and tells all peers to send no more requests.
     void shut_down();
 
--- a/lib/daemon/daemon.cpp
+++ b/lib/daemon/daemon.cpp
@@ -86,7 +86,8 @@
             {[this](exchange_id exchange, http_request request) {
                  on_http(exchange, std::move(request));
              },
-             [this](exchange_id exchange) { traffic_->handle(caller_disconnected{exchange}); }})
+             [this](exchange_id exchange) { traffic_->handle(caller_disconnected{exchange}); },
+             [this](const cut_connection& cut) { traffic_->on_connection_cut(cut); }})
 {
     // The start time serves as incarnation and as epoch: a later process of the same instance has a
     // greater one.
@@ -137,7 +138,7 @@
     stop();
     traffic.join();
     control.join();
-    write_log(log_level::info, "stopped", json::object());
+    traffic_->log_open_work("stopped");
     return absl::OkStatus();
 }
 
--- a/lib/daemon/traffic_metrics.cpp
+++ b/lib/daemon/traffic_metrics.cpp
@@ -31,6 +31,9 @@
       target_times_(registry, {"fescuedyke_target_seconds",
                                "From a call's dispatch to the answer of the target.",
                                {"service"}}),
+      cut_requests_(registry, {"fescuedyke_cut_requests_total",
+                               "Requests whose connection ended before their whole response.",
+                               {"reason", "stage"}}),
       open_calls_(registry, {"fescuedyke_open_calls", "Calls that have no outcome yet.", {"side"}}),
       node_gauges_(registry, {"fescuedyke_node", "Other figures of the node.", {"what"}})
 {
@@ -59,6 +62,13 @@
     target_times_.observe({service.value()}, duration);
 }
 
+void traffic_metrics::on_connection_cut(const cut_connection& cut)
+{
+    const std::string reason = to_string(cut.reason);
+    cut_requests_.add({reason, "open"}, static_cast<double>(cut.open_requests));
+    cut_requests_.add({reason, "unsent"}, static_cast<double>(cut.unsent_responses));
+}
+
 void traffic_metrics::set_gauges(const traffic_gauges& gauges)
 {
     open_calls_.set({"outbound"}, static_cast<double>(gauges.open_outbound));
--- a/lib/daemon/traffic_runtime.cpp
+++ b/lib/daemon/traffic_runtime.cpp
@@ -208,6 +208,31 @@
     listeners_.on_account_report(report);
 }
 
+void traffic_runtime::on_connection_cut(const cut_connection& cut)
+{
+    metrics_.on_connection_cut(cut);
+    // The line is about a connection and not about one request.
+    const std::string no_request;
+    if (should_log(no_request, decision_kind::abnormal)) {
+        decision_log_.write("connection-cut", no_request,
+                            {{"reason", to_string(cut.reason)},
+                             {"open_requests", cut.open_requests},
+                             {"unsent_responses", cut.unsent_responses},
+                             {"unparsed_bytes", cut.unparsed_bytes}});
+    }
+}
+
+void traffic_runtime::log_open_work(const std::string& event) const
+{
+    write_log(log_level::info, event,
+              {{"open_requests", http_.open_exchanges()},
+               {"connections_with_unsent_bytes", http_.connections_with_unsent_bytes()},
+               {"inbound", core_.inbound().open_calls()},
+               {"outbound", core_.outbound().open_calls()},
+               {"peer_streams", server_.open_streams()},
+               {"peers_with_unsent_bytes", server_.connections_with_unsent_bytes()}});
+}
+
 void traffic_runtime::stop(millis timeout, std::function<void()> done)
 {
     on_stopped_ = std::move(done);
--- a/lib/transport/http_connection.cpp
+++ b/lib/transport/http_connection.cpp
@@ -66,7 +66,7 @@
     const bool idle = pending_responses_.empty() && output_.empty();
     const bool has_partial_request = !input_.empty() || request_in_progress_;
     if (idle && !has_partial_request && now - last_active_ > server_.limits_.idle_timeout) {
-        close();
+        close(connection_end::idle_timeout);
         return;
     }
     if (request_in_progress_ && reader_.in_head() &&
@@ -75,11 +75,11 @@
         return;
     }
     if (incoming_body_ && can_read_more() && now - last_read_ > server_.limits_.idle_timeout) {
-        close();
+        close(connection_end::body_timeout);
     }
 }
 
-void http_server::connection::close()
+void http_server::connection::close(connection_end reason)
 {
     if (fd_ < 0) {
         return;
@@ -89,7 +89,7 @@
     ::close(fd_);
     fd_ = -1;
     server_.buffered_bytes_ -= std::exchange(reserved_bytes_, 0);
-    cancel_pending_responses();
+    cancel_pending_responses(reason);
     incoming_body_.reset();
     server_.remove_connection(id_);
 }
@@ -97,7 +97,7 @@
 void http_server::connection::close_if_idle()
 {
     if (pending_responses_.empty() && output_.empty() && input_.empty() && !request_in_progress_) {
-        close();
+        close(connection_end::idle_timeout);
     }
 }
 
@@ -152,13 +152,18 @@
         // Nothing is read for now, but the end of the connection must still be detected.
         if ((events & (EPOLLERR | EPOLLHUP)) != 0 ||
             (!incoming_body_ && (events & EPOLLRDHUP) != 0)) {
-            close();
+            const bool failed = (events & EPOLLERR) != 0;
+            close(failed ? connection_end::connection_failed : connection_end::client_closed);
         }
         return;
     }
     const socket_read_result result = read_some(fd_, input_);
-    if (result == socket_read_result::eof || result == socket_read_result::error) {
-        close();
+    if (result == socket_read_result::eof) {
+        close(connection_end::client_closed);
+        return;
+    }
+    if (result == socket_read_result::error) {
+        close(connection_end::connection_failed);
         return;
     }
     last_read_ = server_.loop_.now().now;
@@ -241,7 +246,7 @@
     incoming_body_.reset();
     const std::shared_ptr<connection> self = shared_from_this();
     if (pending_responses_.empty() || pending_responses_.back().bytes) {
-        close();
+        close(connection_end::body_malformed);
         return;
     }
     last_request_seen_ = true;
@@ -310,7 +315,7 @@
             return;
         }
         if (!send_some(fd_, output_, output_offset_)) {
-            close();
+            close(connection_end::connection_failed);
             return;
         }
         if (output_offset_ < output_.size()) {
@@ -344,7 +349,7 @@
             pending.streamed_body ? pending.streamed_body->fill(output_) : body_state::complete;
         if (body_state == body_state::aborted) {
             // Closing the connection lets the caller detect that the response is truncated.
-            close();
+            close(connection_end::response_aborted);
             return false;
         }
         if (body_state == body_state::open) {
@@ -354,7 +359,7 @@
         closing_ = closing_ || pending.close;
         pending_responses_.pop_front();
         if (closing_) {
-            cancel_pending_responses();
+            cancel_pending_responses(connection_end::last_response);
         }
     }
     return true;
@@ -363,7 +368,7 @@
 void http_server::connection::finish_closing()
 {
     if (!incoming_body_) {
-        close();
+        close(connection_end::last_response);
         return;
     }
     ::shutdown(fd_, SHUT_WR);
@@ -398,15 +403,27 @@
     }
 }
 
-void http_server::connection::cancel_pending_responses()
+void http_server::connection::cancel_pending_responses(connection_end reason)
 {
     const std::deque<pending_response> open =
         std::exchange(pending_responses_, std::deque<pending_response>());
+    cut_connection cut;
+    cut.reason = reason;
+    cut.unsent_responses = fd_ < 0 && has_unsent_bytes() ? 1 : 0;
+    cut.unparsed_bytes = input_.size();
     for (const pending_response& pending : open) {
         server_.buffered_bytes_ -= pending.reserved_bytes;
-        if (server_.connection_by_exchange_.erase(pending.exchange) > 0 && !pending.bytes) {
+        const bool was_dispatched = server_.connection_by_exchange_.erase(pending.exchange) > 0;
+        if (was_dispatched && !pending.bytes) {
+            ++cut.open_requests;
             server_.handlers_.on_cancelled(pending.exchange);
         }
+        else {
+            ++cut.unsent_responses;
+        }
+    }
+    if (server_.handlers_.on_cut && cut.open_requests + cut.unsent_responses > 0) {
+        server_.handlers_.on_cut(cut);
     }
 }
 
--- a/lib/transport/http_connection.h
+++ b/lib/transport/http_connection.h
@@ -26,8 +26,10 @@
     void start();
     void respond(exchange_id exchange, const http_response& response);
     void check_timeouts(instant now);
-    void close();
+    void close(connection_end reason);
     void close_if_idle();
+    /// Returns whether bytes of a response wait to be sent.
+    bool has_unsent_bytes() const { return output_offset_ < output_.size(); }
 
 private:
     /// The response to one request, in the order of the requests.
@@ -79,7 +81,8 @@
     /// while too many requests are open or a streamed body has no room.
     void schedule_parsing();
     void update_watched_events();
-    void cancel_pending_responses();
+    /// Cancels the pending requests and reports them as cut off for \p reason.
+    void cancel_pending_responses(connection_end reason);
 
     http_server& server_;
     std::uint64_t id_;
--- a/lib/transport/http_server.cpp
+++ b/lib/transport/http_server.cpp
@@ -2,6 +2,7 @@
 
 #include "http_connection.h"
 
+#include <algorithm>
 #include <cassert>
 #include <sys/epoll.h>
 #include <sys/socket.h>
@@ -17,6 +18,29 @@
 
 } // namespace
 
+const char* to_string(connection_end reason)
+{
+    switch (reason) {
+    case connection_end::last_response:
+        return "last-response";
+    case connection_end::client_closed:
+        return "client-closed";
+    case connection_end::connection_failed:
+        return "connection-failed";
+    case connection_end::idle_timeout:
+        return "idle-timeout";
+    case connection_end::body_timeout:
+        return "body-timeout";
+    case connection_end::body_malformed:
+        return "body-malformed";
+    case connection_end::response_aborted:
+        return "response-aborted";
+    case connection_end::server_stopped:
+        return "server-stopped";
+    }
+    return "connection-failed";
+}
+
 http_server::http_server(event_loop& loop, const http_limits& limits, handlers callbacks,
                          std::uint64_t first_exchange)
     : loop_(loop), limits_(limits), handlers_(std::move(callbacks)), next_exchange_(first_exchange),
@@ -30,9 +54,10 @@
     stop_listening();
     // The owner of the handlers may be partly destroyed, so cancelled exchanges are not reported.
     handlers_.on_cancelled = [](exchange_id) {};
+    handlers_.on_cut = nullptr;
     const auto open = std::exchange(connections_, {});
     for (const auto& [id, c] : open) {
-        c->close();
+        c->close(connection_end::server_stopped);
     }
 }
 
@@ -115,6 +140,13 @@
     owner->respond(exchange, response);
 }
 
+std::size_t http_server::connections_with_unsent_bytes() const
+{
+    return static_cast<std::size_t>(
+        std::count_if(connections_.begin(), connections_.end(),
+                      [](const auto& entry) { return entry.second->has_unsent_bytes(); }));
+}
+
 void http_server::close_idle()
 {
     const std::map<std::uint64_t, std::shared_ptr<connection>> open = connections_;
--- a/lib/transport/peer_server.cpp
+++ b/lib/transport/peer_server.cpp
@@ -1,5 +1,6 @@
 #include "fescuedyke/transport/peer_server.h"
 
+#include <algorithm>
 #include <sys/epoll.h>
 #include <sys/socket.h>
 #include <unistd.h>
@@ -110,6 +111,23 @@
     }
 }
 
+std::size_t peer_server::open_streams() const
+{
+    std::size_t count = 0;
+    for (const auto& [id, s] : sessions_) {
+        count += s->connection().open_streams();
+    }
+    return count;
+}
+
+std::size_t peer_server::connections_with_unsent_bytes() const
+{
+    return static_cast<std::size_t>(
+        std::count_if(sessions_.begin(), sessions_.end(), [](const auto& entry) {
+            return entry.second->connection().has_unsent_bytes();
+        }));
+}
+
 void peer_server::shut_down()
 {
     if (fd_ >= 0) {
--- a/unittests/transport/http_test.cpp
+++ b/unittests/transport/http_test.cpp
@@ -5,7 +5,9 @@
 
 #include <gtest/gtest.h>
 
+#include <condition_variable>
 #include <deque>
+#include <mutex>
 #include <thread>
 
 namespace fescuedyke {
@@ -33,7 +35,8 @@
         server_ = std::make_unique<http_server>(
             loop_, limits,
             http_server::handlers{[this](exchange_id e, http_request r) { on_request(e, r); },
-                                  [this](exchange_id) { ++cancelled_; }});
+                                  [this](exchange_id) { ++cancelled_; },
+                                  [this](const cut_connection& cut) { on_cut(cut); }});
         EXPECT_TRUE(server_->listen({"127.0.0.1", port}).ok());
         thread_ = std::thread([this] { loop_.run(); });
     }
@@ -48,6 +51,7 @@
     /// request, one to `/never` not at all.
     void on_request(exchange_id e, const http_request& r)
     {
+        ++requests_;
         std::string text = r.method + " " + r.path + "|";
         for (const header& h : r.headers) {
             text += h.name + "=" + h.value + "|";
@@ -66,11 +70,30 @@
         }
     }
 
+    void on_cut(const cut_connection& cut)
+    {
+        const std::lock_guard<std::mutex> lock(mutex_);
+        cuts_.push_back(cut);
+        cut_reported_.notify_all();
+    }
+
+    /// Waits for the first connection that was cut.
+    cut_connection wait_for_cut()
+    {
+        std::unique_lock<std::mutex> lock(mutex_);
+        cut_reported_.wait_for(lock, std::chrono::seconds(20), [this] { return !cuts_.empty(); });
+        return cuts_.empty() ? cut_connection{} : cuts_.front();
+    }
+
     system_clock clock_;
     event_loop loop_{clock_};
     std::unique_ptr<http_server> server_;
     std::deque<std::pair<exchange_id, std::string>> deferred_;
+    std::atomic<int> requests_{0};
     std::atomic<int> cancelled_{0};
+    std::mutex mutex_;
+    std::condition_variable cut_reported_;
+    std::vector<cut_connection> cuts_;
     std::thread thread_;
 };
 
@@ -82,6 +105,23 @@
     EXPECT_LT(received.find("GET /late|"), received.find("GET /two|"));
 }
 
+// Guards against requests that are lost with their connection and leave no trace in the log.
+TEST_F(http_server_test, reports_unanswered_requests_of_a_connection_that_ended)
+{
+    raw_socket c = raw_socket::connect(port);
+    c.send("GET /never HTTP/1.1\r\nHost: a\r\n\r\nGET /two HTTP/1.1\r\nHost: a\r\n\r\n"
+           "GET /never HTTP/1.1\r\nHost: a\r\n\r\nGET /par");
+    while (requests_ < 3) {
+        std::this_thread::sleep_for(std::chrono::milliseconds(1));
+    }
+    c.close();
+    const cut_connection cut = wait_for_cut();
+    EXPECT_EQ(cut.reason, connection_end::client_closed);
+    EXPECT_EQ(cut.open_requests, 2U);
+    EXPECT_EQ(cut.unsent_responses, 1U);
+    EXPECT_EQ(cut.unparsed_bytes, std::string("GET /par").size());
+}
+
 TEST_F(http_server_test, preserves_method_path_query_and_repeated_headers)
 {
     raw_socket c = raw_socket::connect(port);
