Start a member whose last write was cut within the frame header

Operators saw: after a loss of power a member ends at its start with "log: corrupted at byte 536", so that its copy of the accepted changes is lost to the group, in addition to the disks that may be lost.

Cause: a write that was not synced may be torn. If the file has its new length but only the first 1 to 23 bytes of the frame, the header checksum does not match, and the reader took this for corruption. A tail of zeros alone, or a cut within the payload, was already recognized.

Why it works: if the last byte of the header and everything after it are zero, the frame cannot have been written completely. A damaged frame that was synced has a payload that is not all zeros, and is still refused.

--- a/lib/storage/frame_file.cpp
+++ b/lib/storage/frame_file.cpp
@@ -71,6 +71,10 @@
             break;
         }
         if (!header_checksum_matches(bytes, offset)) {
+            // A write that was cut within the header leaves zeros in the rest of the file.
+            if (all_zero(bytes, offset + header_bytes - 1)) {
+                break;
+            }
             return corruption_error(name, offset);
         }
         const std::uint64_t length = read_le64(bytes, offset);
--- a/unittests/storage/frame_file_test.cpp
+++ b/unittests/storage/frame_file_test.cpp
@@ -59,6 +59,20 @@
     EXPECT_EQ(content->payloads.size(), 1U);
 }
 
+// Guards against a member that does not start after a power loss that cut a write within its
+// header.
+RC_GTEST_PROP(frame_file, a_torn_write_whose_rest_reads_as_zeros_is_excluded, ())
+{
+    const std::string before = encode_frames({"first"});
+    const std::string last = make_frame("the last record");
+    const auto kept = *rc::gen::inRange<std::size_t>(0, last.size());
+    std::string bytes = before + last.substr(0, kept);
+    bytes.resize(before.size() + last.size(), '\0');
+    const absl::StatusOr<frame_file_content> content = read_frames("f", bytes);
+    RC_ASSERT(content.ok());
+    RC_ASSERT(content->valid_bytes == before.size());
+}
+
 TEST(posix_file_system, stores_files_and_refuses_to_open_a_locked_directory)
 {
     const std::string directory = testing::TempDir() + "fescuedyke-files";
