Sync what a member reads at its start

Operators saw: an accepted change can be gone after a loss of power, although no disk too many was lost.

Cause: a process that is killed during a slow sync leaves writes that are visible but not durable. At its next start the member read them and confirmed them to the leader without a further write, so that they counted towards a quorum, and a loss of power then removed them.

Why it works: the files and their directory are synced before they are read, so that the member confirms only what is durable.

--- a/bench/cluster/fake_disk.h
+++ b/bench/cluster/fake_disk.h
@@ -99,6 +99,11 @@
         return end_sync(name);
     }
 
+    absl::Status sync(const std::string& name) override
+    {
+        return files_.count(name) == 0 ? absl::NotFoundError(name) : end_sync(name);
+    }
+
     absl::Status truncate_and_sync(const std::string& name, std::size_t size) override
     {
         files_[name].resize(size);
--- a/include/fescuedyke/control/member_store.h
+++ b/include/fescuedyke/control/member_store.h
@@ -30,10 +30,10 @@
     /// \p files must outlive the store.
     explicit member_store(file_system& files);
 
-    /// Reads the disk. If it is empty, writes an identity made of \p name and \p new_disk_id.
-    /// Removes an incomplete last frame of the log. Fails with kDataLoss if a file is damaged in
-    /// any other way or missing, and with kFailedPrecondition if the disk belongs to another
-    /// instance.
+    /// Syncs and reads the disk. If it is empty, writes an identity made of \p name and \p
+    /// new_disk_id. Removes an incomplete last frame of the log. Fails with kDataLoss if a file is
+    /// damaged in any other way or missing, and with kFailedPrecondition if the disk belongs to
+    /// another instance.
     absl::StatusOr<stored_member> open(const std::string& name, std::uint64_t new_disk_id);
 
     /// Writes the hard state, the snapshot and the log changes of \p output.
@@ -47,6 +47,9 @@
     std::size_t log_bytes() const { return log_bytes_; }
 
 private:
+    /// Reads a file after a sync: if the process was killed during a sync, the content may not be
+    /// durable yet.
+    absl::StatusOr<std::string> read_durable(const std::string& name);
     absl::StatusOr<member_id> open_identity(const std::string& name, std::uint64_t new_disk_id);
     absl::Status open_snapshot(stored_member& member);
     absl::Status open_log(stored_member& member);
--- a/include/fescuedyke/storage/file_system.h
+++ b/include/fescuedyke/storage/file_system.h
@@ -26,6 +26,10 @@
     /// holds either the old or the new content.
     virtual absl::Status replace_and_sync(const std::string& name, const std::string& bytes) = 0;
 
+    /// Makes the content of a file and all names in the directory durable. A process that was
+    /// killed during a sync may have left them visible but not durable.
+    virtual absl::Status sync(const std::string& name) = 0;
+
     /// Truncates a file to \p size bytes and syncs it.
     virtual absl::Status truncate_and_sync(const std::string& name, std::size_t size) = 0;
 };
--- a/include/fescuedyke/storage/posix_file_system.h
+++ b/include/fescuedyke/storage/posix_file_system.h
@@ -25,6 +25,7 @@
     absl::StatusOr<std::string> read(const std::string& name) override;
     absl::Status append_and_sync(const std::string& name, const std::string& bytes) override;
     absl::Status replace_and_sync(const std::string& name, const std::string& bytes) override;
+    absl::Status sync(const std::string& name) override;
     absl::Status truncate_and_sync(const std::string& name, std::size_t size) override;
 
 private:
--- a/lib/control/member_store.cpp
+++ b/lib/control/member_store.cpp
@@ -58,10 +58,19 @@
 
 member_store::member_store(file_system& files) : files_(files) {}
 
+absl::StatusOr<std::string> member_store::read_durable(const std::string& name)
+{
+    // Other members count on what this member read at its start.
+    if (absl::Status synced = files_.sync(name); !synced.ok()) {
+        return synced;
+    }
+    return files_.read(name);
+}
+
 absl::StatusOr<member_id> member_store::open_identity(const std::string& name,
                                                       std::uint64_t new_disk_id)
 {
-    const absl::StatusOr<std::string> bytes = files_.read(identity_file);
+    const absl::StatusOr<std::string> bytes = read_durable(identity_file);
     if (absl::IsNotFound(bytes.status())) {
         if (files_.read(log_file).ok() || files_.read(snapshot_file).ok()) {
             return data_loss("identity: missing although a log or snapshot exists");
@@ -93,7 +102,7 @@
 
 absl::Status member_store::open_snapshot(stored_member& member)
 {
-    const absl::StatusOr<std::string> bytes = files_.read(snapshot_file);
+    const absl::StatusOr<std::string> bytes = read_durable(snapshot_file);
     if (absl::IsNotFound(bytes.status())) {
         return absl::OkStatus();
     }
@@ -115,7 +124,7 @@
 
 absl::Status member_store::open_log(stored_member& member)
 {
-    const absl::StatusOr<std::string> bytes = files_.read(log_file);
+    const absl::StatusOr<std::string> bytes = read_durable(log_file);
     if (absl::IsNotFound(bytes.status())) {
         if (member.state.base.index != log_index(0)) {
             return data_loss("log: missing although a snapshot exists");
--- a/lib/storage/posix_file_system.cpp
+++ b/lib/storage/posix_file_system.cpp
@@ -168,6 +168,18 @@
     return absl::OkStatus();
 }
 
+absl::Status posix_file_system::sync(const std::string& name)
+{
+    const int fd = ::openat(directory_fd_, name.c_str(), O_WRONLY | O_CLOEXEC);
+    if (fd < 0) {
+        return errno_to_status(name, "open");
+    }
+    const bool synced = ::fsync(fd) == 0 && ::fsync(directory_fd_) == 0;
+    absl::Status status = synced ? absl::OkStatus() : errno_to_status(name, "sync");
+    ::close(fd);
+    return status;
+}
+
 absl::Status posix_file_system::truncate_and_sync(const std::string& name, std::size_t size)
 {
     close_append(name);
--- a/unittests/control/member_store_test.cpp
+++ b/unittests/control/member_store_test.cpp
@@ -78,5 +78,46 @@
     }
 }
 
+/// Returns whether the next start of the member, after a loss of power, holds what this start held.
+bool survives_power_loss(fake_disk& disk, std::uint64_t seed)
+{
+    member_store killed(disk);
+    const absl::StatusOr<stored_member> recovered = killed.open("m1", 8);
+    random_source random(seed);
+    disk.lose_power(random);
+    member_store restarted(disk);
+    const absl::StatusOr<stored_member> stored = restarted.open("m1", 9);
+    return recovered.ok() && stored.ok() && stored->id == recovered->id &&
+           stored->state.hard.term == recovered->state.hard.term &&
+           stored->state.base.index == recovered->state.base.index &&
+           stored->state.entries.size() == recovered->state.entries.size();
+}
+
+/// Guards against a member that, killed during a sync, confirms entries, a vote, a snapshot or an
+/// identity that it finds at its next start, and loses them with its power.
+TEST(member_store, what_a_start_finds_survives_a_loss_of_power)
+{
+    for (std::uint64_t seed = 0; seed < 40; ++seed) {
+        fake_disk identity_disk;
+        identity_disk.interrupt_next_sync();
+        EXPECT_FALSE(member_store(identity_disk).open("m1", 7).ok());
+        EXPECT_TRUE(survives_power_loss(identity_disk, seed)) << "identity, seed " << seed;
+
+        for (const bool installs : {false, true}) {
+            fake_disk disk;
+            member_store store(disk);
+            ASSERT_TRUE(store.open("m1", 7).ok());
+            ASSERT_TRUE(store.persist(make_append(1, 5, 1)).ok());
+            disk.interrupt_next_sync();
+            const snapshot s{log_index(5), log_term(1), {}, "state"};
+            const bool written = installs ? store.persist_snapshot(s, {log_term(1), {}}, {}).ok()
+                                          : store.persist(make_append(6, 7, 2)).ok();
+            EXPECT_FALSE(written);
+            EXPECT_TRUE(survives_power_loss(disk, seed))
+                << (installs ? "snapshot" : "log") << ", seed " << seed;
+        }
+    }
+}
+
 } // namespace
 } // namespace fescuedyke
--- a/unittests/storage/frame_file_test.cpp
+++ b/unittests/storage/frame_file_test.cpp
@@ -88,6 +88,8 @@
     EXPECT_EQ(*(*files)->read("a"), "newer");
     EXPECT_TRUE((*files)->truncate_and_sync("a", 3).ok());
     EXPECT_EQ(*(*files)->read("a"), "new");
+    EXPECT_TRUE((*files)->sync("a").ok());
+    EXPECT_TRUE(absl::IsNotFound((*files)->sync("b")));
     EXPECT_TRUE(absl::IsFailedPrecondition(posix_file_system::open(directory).status()));
 }
 
