Let an election not delay the repair of the group

Operators saw: after the final fault no read was answered, because only two of five voters were left. One of the others was a vote that no disk held any more, although its instance had been back, or its successor had been there, for more than the time (CatchUp) during which it counts as lost.

Cause: a new leader counted every member as heard at its election, so that each election started the 3 s of silence anew, after which a lost vote is removed.

Before: group_growth.an_instance_that_lost_its_disk_votes_4_s_after_its_return_despite_an_election and group_growth.a_successor_votes_4_s_after_its_start_despite_two_elections Value of: c.run_until(counts_again - c.now(), ...) Actual: false Expected: true After: both pass, and the other tests of the group.

Why it works: a member that does not answer a new leader within one election timeout (600 ms) was silent before the election, too. One that answers late is only replaced if a learner is there to take its place, and rejoins.

--- a/lib/consensus/raft_core.cpp
+++ b/lib/consensus/raft_core.cpp
@@ -227,10 +227,14 @@
         }
     }
     append_as_leader(std::move(first_entry));
+    // A member that does not answer within one election timeout was silent before this election,
+    // so that an election must not start the wait for silent members anew.
+    const instant presumed_heard =
+        now - (settings_.member_silence_timeout - settings_.election_timeout);
     for (const member_entry& m : log_.members()) {
         progress& p = progress_[m.id];
         p.next = log_.last_index();
-        p.last_heard = now;
+        p.last_heard = presumed_heard;
     }
     broadcast(now);
 }
--- a/unittests/control/group_growth_test.cpp
+++ b/unittests/control/group_growth_test.cpp
@@ -3,6 +3,7 @@
 #include <gtest/gtest.h>
 #include <rapidcheck/gtest.h>
 
+#include <algorithm>
 #include <set>
 
 namespace fescuedyke {
@@ -11,6 +12,8 @@
 using cluster::control_cluster;
 
 constexpr millis max_wait{20'000};
+/// Time after its return or start during which an instance counts as lost.
+constexpr millis catch_up_time{4000};
 const std::vector<std::string> seeds = {"m1", "m2", "m3"};
 
 control_settings growing_group_settings()
@@ -163,6 +166,65 @@
     EXPECT_EQ(c.violation(), "");
 }
 
+/// Returns whether the current leader lists the disk that the instance has now as that of a voter.
+bool votes_with_its_disk(control_cluster& c, const std::string& name)
+{
+    const auto leader = c.leader();
+    if (!leader || !c.is_up(name)) {
+        return false;
+    }
+    const member_list& members = c.core(*leader).raft().log().members();
+    return std::any_of(members.begin(), members.end(), [&](const member_entry& m) {
+        return m.voter && m.id == c.core(name).raft().self();
+    });
+}
+
+/// Ends the leader's process and starts it again one second later.
+void restart_leader(control_cluster& c)
+{
+    const auto leader = c.leader();
+    ASSERT_TRUE(leader);
+    c.crash(*leader);
+    c.run_for(millis(1000));
+    ASSERT_TRUE(c.start(*leader).ok());
+}
+
+// Guards against a group that stays below five voters, because each election starts the repair
+// anew, for longer than the 4 s during which a returned instance counts as lost.
+TEST(group_growth, an_instance_that_lost_its_disk_votes_4_s_after_its_return_despite_an_election)
+{
+    control_cluster c(3, 19, growing_group_settings());
+    start_group_of_five(c);
+    const std::string wiped_member = *c.leader() == "m2" ? "m3" : "m2";
+    c.crash(wiped_member);
+    c.disk(wiped_member).wipe();
+    c.run_for(millis(1500));
+    ASSERT_TRUE(c.start(wiped_member).ok());
+    const instant counts_again = c.now() + catch_up_time;
+    c.run_for(millis(1000));
+    restart_leader(c);
+    EXPECT_TRUE(
+        c.run_until(counts_again - c.now(), [&] { return votes_with_its_disk(c, wiped_member); }));
+    EXPECT_EQ(c.violation(), "");
+}
+
+// Guards against a removed instance that keeps its vote, because each election starts the wait for
+// its silence anew, for longer than the 4 s during which its successor counts as lost.
+TEST(group_growth, a_successor_votes_4_s_after_its_start_despite_two_elections)
+{
+    control_cluster c(3, 20, growing_group_settings());
+    start_group_of_five(c);
+    // The removed instance leads, so that its removal causes the first election.
+    c.crash(*c.leader());
+    ASSERT_TRUE(c.add_member("m6", {"m1", "m2", "m3"}, false).ok());
+    const instant counts_again = c.now() + catch_up_time;
+    ASSERT_TRUE(c.run_until(millis(2000), [&] { return c.leader().has_value(); }));
+    c.run_for(millis(500));
+    restart_leader(c);
+    EXPECT_TRUE(c.run_until(counts_again - c.now(), [&] { return votes_with_its_disk(c, "m6"); }));
+    EXPECT_EQ(c.violation(), "");
+}
+
 TEST(group_growth, a_group_whose_members_all_crashed_elects_a_leader_within_one_election_timeout)
 {
     int late_elections = 0;
