--- a/lib/control/member_store.cpp
+++ b/lib/control/member_store.cpp
@@ -16,7 +16,8 @@
 
 /// Payload of a frame of the log: the changes that one write makes durable.
 struct log_record {
-    /// Index of the snapshot that the log follows; set only in the first record.
+    /// Index of the snapshot that this and the later records follow; earlier entries are dropped.
+    /// Set in the first record after a snapshot.
     std::optional<log_index> base_index;
     log_term base_term;
     std::optional<hard_state> hard;
@@ -35,30 +36,41 @@
 }
 
 /// Removes the entries that the snapshot \p base covers, or all entries if the log does not match
-/// the snapshot. The first entry of \p entries follows index \p log_base.
-void trim_to_snapshot(const snapshot& base, log_index log_base, std::vector<log_entry>& entries)
+/// the snapshot. The first entry of \p entries follows index \p log_base. Returns whether the log
+/// matches the snapshot.
+bool trim_to_snapshot(const snapshot& base, log_index log_base, std::vector<log_entry>& entries)
 {
     if (log_base == base.index) {
-        return;
+        return true;
     }
     const std::uint64_t covered_count = base.index.value() - log_base.value();
     const bool covers_snapshot = entries.size() >= covered_count;
     const bool matches_snapshot = covers_snapshot && entries[covered_count - 1].term == base.term;
     if (!matches_snapshot) {
         entries.clear();
-        return;
+        return false;
     }
     entries.erase(entries.begin(), entries.begin() + static_cast<std::ptrdiff_t>(covered_count));
+    return true;
 }
 
 } // namespace
 
 member_store::member_store(file_system& files) : files_(files) {}
 
+absl::StatusOr<std::string> member_store::read_durable(const std::string& name)
+{
+    // Other members count on what this member read at its start.
+    if (absl::Status synced = files_.sync(name); !synced.ok()) {
+        return synced;
+    }
+    return files_.read(name);
+}
+
 absl::StatusOr<member_id> member_store::open_identity(const std::string& name,
                                                       std::uint64_t new_disk_id)
 {
-    const absl::StatusOr<std::string> bytes = files_.read(identity_file);
+    const absl::StatusOr<std::string> bytes = read_durable(identity_file);
     if (absl::IsNotFound(bytes.status())) {
         if (files_.read(log_file).ok() || files_.read(snapshot_file).ok()) {
             return data_loss("identity: missing although a log or snapshot exists");
@@ -90,7 +102,7 @@
 
 absl::Status member_store::open_snapshot(stored_member& member)
 {
-    const absl::StatusOr<std::string> bytes = files_.read(snapshot_file);
+    const absl::StatusOr<std::string> bytes = read_durable(snapshot_file);
     if (absl::IsNotFound(bytes.status())) {
         return absl::OkStatus();
     }
@@ -112,7 +124,7 @@
 
 absl::Status member_store::open_log(stored_member& member)
 {
-    const absl::StatusOr<std::string> bytes = files_.read(log_file);
+    const absl::StatusOr<std::string> bytes = read_durable(log_file);
     if (absl::IsNotFound(bytes.status())) {
         if (member.state.base.index != log_index(0)) {
             return data_loss("log: missing although a snapshot exists");
@@ -135,7 +147,10 @@
         if (!record.ok()) {
             return data_loss("log: a record cannot be decoded");
         }
-        base = record->base_index.value_or(base);
+        if (record->base_index) {
+            base = *record->base_index;
+            entries.clear();
+        }
         member.state.hard = record->hard.value_or(member.state.hard);
         while (record->truncate_from && !entries.empty() &&
                entries.back().index >= *record->truncate_from) {
@@ -151,7 +166,9 @@
     if (base > member.state.base.index) {
         return data_loss("snapshot: missing or older than the start of the log");
     }
-    trim_to_snapshot(member.state.base, base, entries);
+    restarts_at_snapshot_ = !trim_to_snapshot(member.state.base, base, entries);
+    base_index_ = member.state.base.index;
+    base_term_ = member.state.base.term;
     log_bytes_ = content->valid_bytes;
     if (content->valid_bytes < bytes->size()) {
         return files_.truncate_and_sync(log_file, content->valid_bytes);
@@ -190,6 +207,10 @@
         return persist_snapshot(*output.snapshot_to_install, *output.hard, output.append);
     }
     log_record record;
+    if (restarts_at_snapshot_) {
+        record.base_index = base_index_;
+        record.base_term = base_term_;
+    }
     record.hard = output.hard;
     record.truncate_from = output.truncate_from;
     record.append = output.append;
@@ -205,6 +226,7 @@
     absl::Status written = files_.append_and_sync(log_file, frame);
     torn_tail_ = !written.ok();
     log_bytes_ += torn_tail_ ? 0 : frame.size();
+    restarts_at_snapshot_ = restarts_at_snapshot_ && torn_tail_;
     return written;
 }
 
@@ -221,6 +243,7 @@
     if (written.ok()) {
         log_bytes_ = frame.size();
         torn_tail_ = false;
+        restarts_at_snapshot_ = false;
     }
     return written;
 }
