Reserve no memory for the length that a target declares

Cause: Boost.Beast's string body reserves the declared length when the head is complete; std::bad_alloc leaves the event loop. Now the body grows with the bytes that arrive. Before, endless_response.a_declared_length_reserves_no_memory: C++ exception with description "std::bad_alloc" thrown in the test body. After: passes; transport_tests pass (34 tests). The test of heads without end passed before, too.

--- a/lib/transport/http_codec.cpp
+++ b/lib/transport/http_codec.cpp
@@ -33,6 +33,20 @@
 /// Largest accepted head of a response, in bytes.
 constexpr std::uint32_t max_response_head_bytes = 64U << 10U;
 
+/// A string body for which no memory is reserved in advance, because the length that a target
+/// declares does not show how many bytes it will send.
+struct growing_body : http::string_body {
+    class reader : public http::string_body::reader {
+    public:
+        using http::string_body::reader::reader;
+
+        void init(const boost::optional<std::uint64_t>& /*length*/, beast::error_code& error)
+        {
+            http::string_body::reader::init(boost::none, error);
+        }
+    };
+};
+
 /// Passes the bytes of \p buffer to \p parser and erases those that it consumed. A parser that
 /// needs more bytes reports no error.
 template <class Parser> void feed(Parser& parser, std::string& buffer, beast::error_code& error)
@@ -211,7 +225,7 @@
 }
 
 struct response_reader::impl {
-    http::response_parser<http::string_body> parser;
+    http::response_parser<growing_body> parser;
 };
 
 response_reader::response_reader()
