Limit the interim responses before a response

What callers saw: a target that sends interim (1xx) responses without end keeps its call, and its connection, until the deadline. Cause: the reader starts a new parser, with a new head limit, for each of them. Now their total size is limited to max_interim_bytes; beyond it the response is malformed and the call ends as unknown.

--- a/include/fescuedyke/transport/http_codec.h
+++ b/include/fescuedyke/transport/http_codec.h
@@ -97,7 +97,7 @@
     /// Prepares to read the response to a request with \p method.
     void begin(const std::string& method);
     /// Consumes the bytes of the current response from the front of \p buffer and skips interim
-    /// (1xx) responses.
+    /// (1xx) responses, whose total size is limited.
     read_progress read(std::string& buffer);
     /// Called when the server has closed the connection without an error. Returns whether this
     /// completes the response.
@@ -119,9 +119,12 @@
 
 private:
     struct impl;
+    void make_parser();
 
     std::unique_ptr<impl> impl_;
     bool is_head_request_ = false;
+    /// Bytes consumed of the current response and of the interim responses before it.
+    std::uint64_t consumed_bytes_ = 0;
     bool keep_alive_ = true;
     millis server_idle_timeout_;
 };
--- a/lib/transport/http_codec.cpp
+++ b/lib/transport/http_codec.cpp
@@ -33,6 +33,9 @@
 /// Largest accepted head of a response, in bytes.
 constexpr std::uint32_t max_response_head_bytes = 64U << 10U;
 
+/// Largest accepted total of the interim (1xx) responses before a response, in bytes.
+constexpr std::size_t max_interim_bytes = 64U << 10U;
+
 /// A string body for which no memory is reserved in advance, because the length that a target
 /// declares does not show how many bytes it will send.
 struct growing_body : http::string_body {
@@ -237,8 +240,14 @@
 
 void response_reader::begin(const std::string& method)
 {
-    impl_ = std::make_unique<impl>();
     is_head_request_ = method == "HEAD";
+    consumed_bytes_ = 0;
+    make_parser();
+}
+
+void response_reader::make_parser()
+{
+    impl_ = std::make_unique<impl>();
     impl_->parser.eager(true);
     impl_->parser.skip(is_head_request_);
     impl_->parser.header_limit(max_response_head_bytes);
@@ -248,8 +257,10 @@
 read_progress response_reader::read(std::string& buffer)
 {
     for (;;) {
+        const std::size_t before = buffer.size();
         beast::error_code error;
         feed(impl_->parser, buffer, error);
+        consumed_bytes_ += before - buffer.size();
         if (error) {
             return read_progress::failed;
         }
@@ -259,7 +270,10 @@
         if (impl_->parser.get().result_int() >= min_final_status) {
             return read_progress::complete;
         }
-        begin(is_head_request_ ? "HEAD" : "GET");
+        if (consumed_bytes_ > max_interim_bytes) {
+            return read_progress::failed;
+        }
+        make_parser();
     }
 }
 
--- a/unittests/transport/endless_response_test.cpp
+++ b/unittests/transport/endless_response_test.cpp
@@ -61,6 +61,12 @@
     EXPECT_LT(bytes_until_failure("HTTP/1.1 200 OK\r\n", repeat("A: b\r\n")), max_head_bytes);
 }
 
+// Guards against a call that waits for its answer while interim responses arrive without end.
+TEST(endless_response, interim_responses_without_end_are_rejected)
+{
+    EXPECT_LT(bytes_until_failure("", repeat("HTTP/1.1 102 Processing\r\n\r\n")), max_head_bytes);
+}
+
 // Guards against a process that ends because it reserves the length that a target declares.
 TEST(endless_response, a_declared_length_reserves_no_memory)
 {
