Limit the head of a chunk and the trailer of a response

What callers saw: a target that sends a chunk size, a chunk extension or a trailer without end fills the memory of its node until the deadline of the call, or for ever if the body is streamed. Cause: Boost.Beast limits the head of a message only; the unparsed bytes stayed in the buffer of the connection. Now a response of which more than max_chunk_head_bytes cannot be parsed is malformed.

--- a/lib/transport/http_codec.cpp
+++ b/lib/transport/http_codec.cpp
@@ -36,6 +36,9 @@
 /// Largest accepted total of the interim (1xx) responses before a response, in bytes.
 constexpr std::size_t max_interim_bytes = 64U << 10U;
 
+/// Largest accepted head of a chunk and largest accepted trailer, in bytes.
+constexpr std::size_t max_chunk_head_bytes = 64U << 10U;
+
 /// A string body for which no memory is reserved in advance, because the length that a target
 /// declares does not show how many bytes it will send.
 struct growing_body : http::string_body {
@@ -265,7 +268,9 @@
             return read_progress::failed;
         }
         if (!impl_->parser.is_done()) {
-            return read_progress::incomplete;
+            // The parser leaves only a head, a chunk head or a trailer of which the end is missing.
+            return buffer.size() > max_chunk_head_bytes ? read_progress::failed
+                                                        : read_progress::incomplete;
         }
         if (impl_->parser.get().result_int() >= min_final_status) {
             return read_progress::complete;
--- a/unittests/transport/endless_response_test.cpp
+++ b/unittests/transport/endless_response_test.cpp
@@ -49,6 +49,8 @@
     return endless_bytes;
 }
 
+const std::string chunked_head = "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n";
+
 /// Largest number of bytes that may pass before an endless head or chunk head is given up.
 constexpr std::size_t max_head_bytes = 256U << 10U;
 
@@ -67,6 +69,14 @@
     EXPECT_LT(bytes_until_failure("", repeat("HTTP/1.1 102 Processing\r\n\r\n")), max_head_bytes);
 }
 
+// Guards against memory that grows without bound while a chunk has no end of its head.
+TEST(endless_response, a_chunk_head_or_trailer_without_end_is_rejected)
+{
+    EXPECT_LT(bytes_until_failure(chunked_head, repeat("0")), max_head_bytes);
+    EXPECT_LT(bytes_until_failure(chunked_head + "5;a=", repeat("x")), max_head_bytes);
+    EXPECT_LT(bytes_until_failure(chunked_head + "0\r\n", repeat("A: b\r\n")), max_head_bytes);
+}
+
 // Guards against a process that ends because it reserves the length that a target declares.
 TEST(endless_response, a_declared_length_reserves_no_memory)
 {
