Limit the bytes of a buffered response and of those before it

What callers saw: an answer under a key, which is buffered whole, filled the memory of the target's node for as long as the target sent; answers to other requests without end kept the call and its connection until the deadline. Cause: nothing limited what is read for one request. Now at most max_buffered_response_bytes are read while the response is buffered; beyond it the call ends as unknown/truncated and the connection is closed.

--- a/lib/transport/target_connection.cpp
+++ b/lib/transport/target_connection.cpp
@@ -26,6 +26,10 @@
 /// which is decided elsewhere.
 constexpr millis stale_connection_window{30};
 
+/// Maximum number of bytes read for one request while its response is buffered: the response and
+/// those to other requests before it.
+constexpr std::uint64_t max_buffered_response_bytes = 16U << 20U;
+
 } // namespace
 
 bool target_client::connection::connect()
@@ -49,6 +53,7 @@
     request_ = request;
     done_ = std::move(done);
     any_sent_ = false;
+    received_bytes_ = 0;
     reader_.begin(request.request->method);
     std::vector<header> extra = request.extra_headers;
     if (find_header(request.request->headers, "host") == nullptr) {
@@ -165,7 +170,9 @@
 void target_client::connection::on_readable()
 {
     for (;;) {
+        const std::size_t before = input_.size();
         const socket_read_result result = read_some(fd_, input_);
+        received_bytes_ += input_.size() - before;
         if (result == socket_read_result::would_block) {
             return;
         }
@@ -236,13 +243,20 @@
             return false;
         }
         if (progress == read_progress::incomplete) {
-            return !request_.may_stream_response || !reader_.is_streamed() || begin_streaming();
+            break;
         }
         if (deliver(reader_.take())) {
             return false;
         }
         reader_.begin(request_.request->method);
     }
+    if (request_.may_stream_response && reader_.is_streamed()) {
+        return begin_streaming();
+    }
+    if (received_bytes_ > max_buffered_response_bytes) {
+        fail(target_failure::truncated);
+        return false;
+    }
     return true;
 }
 
--- a/lib/transport/target_connection.h
+++ b/lib/transport/target_connection.h
@@ -88,6 +88,8 @@
     std::unique_ptr<body_encoder> request_body_;
     std::unique_ptr<body_writer> response_body_;
     std::string input_;
+    /// Bytes received since the current request was started.
+    std::uint64_t received_bytes_ = 0;
     /// Bytes to send; those before \c output_offset_ have been sent.
     std::string output_;
     std::size_t output_offset_ = 0;
--- a/unittests/transport/endless_response_test.cpp
+++ b/unittests/transport/endless_response_test.cpp
@@ -1,6 +1,7 @@
 #include "raw_socket.h"
 
 #include "fescuedyke/transport/http_codec.h"
+#include "fescuedyke/transport/socket.h"
 #include "fescuedyke/transport/target_client.h"
 
 #include <gtest/gtest.h>
@@ -88,5 +89,115 @@
     EXPECT_EQ(reader.take_body_part(), "body");
 }
 
+/// A target whose connections are each served by one script, in the order in which they are
+/// accepted.
+class endless_target : public testing::Test {
+protected:
+    static constexpr std::uint16_t port = 27351;
+    using script = std::function<void(raw_socket&)>;
+
+    ~endless_target() override { join_target(); }
+
+    void run_target(std::vector<script> scripts)
+    {
+        int fd = -1;
+        ASSERT_TRUE(listen_on({"127.0.0.1", port}, fd).ok());
+        thread_ = std::thread([fd, scripts = std::move(scripts)] {
+            for (const script& s : scripts) {
+                int accepted = -1;
+                while ((accepted = ::accept(fd, nullptr, nullptr)) < 0) {
+                    std::this_thread::sleep_for(std::chrono::milliseconds(1));
+                }
+                raw_socket c(accepted);
+                s(c);
+            }
+            ::close(fd);
+        });
+    }
+
+    void join_target()
+    {
+        if (thread_.joinable()) {
+            thread_.join();
+        }
+    }
+
+    static target_request make_request(bool may_stream = false)
+    {
+        auto request = std::make_shared<http_request>();
+        request->method = "GET";
+        request->path = "/x";
+        request->headers = {{"Host", "t"}};
+        target_request r;
+        r.address = {"127.0.0.1", port};
+        r.request = request;
+        r.may_stream_response = may_stream;
+        r.required_echo = header{"Id", "1"};
+        return r;
+    }
+
+    /// Sends a request and runs the loop until it has ended.
+    target_result send(const target_request& request)
+    {
+        target_result result = target_failure::never_sent;
+        client_.send(++next_request_, request, [&](target_result received) {
+            result = std::move(received);
+            loop_.post([this] { loop_.stop(); });
+        });
+        loop_.run();
+        loop_.clear_stop();
+        return result;
+    }
+
+    /// Expects that a response that begins with \p head and goes on with \p part without end is
+    /// truncated, that its connection is closed, and that the next request uses another one.
+    void expect_truncated(const std::string& head, const std::string& part, bool may_stream = false)
+    {
+        std::atomic<bool> closed{false};
+        run_target({[&](raw_socket& c) {
+                        c.read_until("\r\n\r\n");
+                        c.try_send(head);
+                        closed = c.send_until_closed(part, endless_bytes);
+                    },
+                    [](raw_socket& c) {
+                        c.read_until("\r\n\r\n");
+                        c.send("HTTP/1.1 200 OK\r\nId: 1\r\nContent-Length: 4\r\n\r\nnext");
+                        c.wait_for_close();
+                    }});
+        const target_result first = send(make_request(may_stream));
+        const target_result second = send(make_request(may_stream));
+        EXPECT_TRUE(closed) << "the target could send without end";
+        const auto* failure = std::get_if<target_failure>(&first);
+        EXPECT_TRUE(failure != nullptr && *failure == target_failure::truncated);
+        const auto* next = std::get_if<http_response>(&second);
+        EXPECT_TRUE(next != nullptr && *next->body == "next");
+        client_.close_idle();
+        join_target();
+    }
+
+    system_clock clock_;
+    event_loop loop_{clock_};
+    target_client client_{loop_};
+    std::uint64_t next_request_ = 0;
+    std::thread thread_;
+};
+
+// Guards against a call that waits for its answer while answers to other requests arrive without
+// end.
+TEST_F(endless_target, responses_to_other_requests_without_end_are_not_read)
+{
+    expect_truncated("", repeat("HTTP/1.1 200 OK\r\nId: 2\r\nContent-Length: 4\r\n\r\nlate"));
+}
+
+// Guards against memory that grows without bound while an answer that must be received whole has no
+// end.
+TEST_F(endless_target, a_buffered_body_without_end_is_truncated)
+{
+    const std::string head = "HTTP/1.1 200 OK\r\nId: 1\r\n";
+    expect_truncated(head + "\r\n", repeat("x"));
+    expect_truncated(head + "Content-Length: 1000000000000000\r\n\r\n", repeat("x"));
+    expect_truncated(head + "Transfer-Encoding: chunked\r\n\r\n", repeat("4\r\nbody\r\n"));
+}
+
 } // namespace
 } // namespace fescuedyke
--- a/unittests/transport/raw_socket.h
+++ b/unittests/transport/raw_socket.h
@@ -5,6 +5,7 @@
 
 #include <arpa/inet.h>
 #include <array>
+#include <cerrno>
 #include <netinet/in.h>
 #include <string>
 #include <sys/socket.h>
@@ -16,7 +17,8 @@
 
 namespace fescuedyke {
 
-/// Longer than any expected wait in these tests: it expires only if a response never arrives.
+/// Longer than any expected wait in these tests: it expires only if a response never arrives, or if
+/// sent bytes are never read.
 constexpr timeval receive_timeout{20, 0};
 
 /// A blocking TCP socket.
@@ -25,6 +27,7 @@
     explicit raw_socket(int fd) : fd_(fd)
     {
         ::setsockopt(fd_, SOL_SOCKET, SO_RCVTIMEO, &receive_timeout, sizeof receive_timeout);
+        ::setsockopt(fd_, SOL_SOCKET, SO_SNDTIMEO, &receive_timeout, sizeof receive_timeout);
     }
     raw_socket(raw_socket&& other) noexcept : fd_(std::exchange(other.fd_, -1)) {}
     ~raw_socket() { close(); }
@@ -77,6 +80,28 @@
                static_cast<ssize_t>(bytes.size());
     }
 
+    /// Sends \p part again and again until \p max_bytes are sent. Returns whether the peer closed
+    /// the connection before.
+    bool send_until_closed(const std::string& part, std::size_t max_bytes) const
+    {
+        for (std::size_t sent = 0; sent < max_bytes; sent += part.size()) {
+            if (::send(fd_, part.data(), part.size(), MSG_NOSIGNAL) < 0) {
+                return errno != EAGAIN;
+            }
+        }
+        return false;
+    }
+
+    /// Discards received bytes until the peer closes the connection. Returns false if it does not.
+    bool wait_for_close() const
+    {
+        std::array<char, 4096> chunk{};
+        ssize_t received = 0;
+        while ((received = ::recv(fd_, chunk.data(), chunk.size(), 0)) > 0) {
+        }
+        return received == 0 || errno != EAGAIN;
+    }
+
     /// Reads until the peer has closed the connection and returns all received bytes.
     std::string read_to_end() { return read_until("\x01never\x01"); }
 
