--- a/include/fescuedyke/transport/socket.h
+++ b/include/fescuedyke/transport/socket.h
@@ -34,6 +34,9 @@
 /// Reads once and appends the received bytes, at most a fixed number, to \p buffer.
 socket_read_result read_some(int fd, std::string& buffer);
 
+/// Returns whether a connected socket has no bytes to read and has neither ended nor failed.
+bool is_quiet(int fd);
+
 /// Sends \p bytes from \p offset on until the socket accepts no more, and advances \p offset.
 /// Returns false on a connection error.
 bool send_some(int fd, const std::string& bytes, std::size_t& offset);
--- a/lib/transport/socket.cpp
+++ b/lib/transport/socket.cpp
@@ -100,6 +100,12 @@
                                              : socket_read_result::error;
 }
 
+bool is_quiet(int fd)
+{
+    char byte = 0;
+    return ::recv(fd, &byte, sizeof byte, MSG_PEEK) < 0 && errno == EAGAIN;
+}
+
 bool send_some(int fd, const std::string& bytes, std::size_t& offset)
 {
     while (offset < bytes.size()) {
--- a/lib/transport/target_connection.cpp
+++ b/lib/transport/target_connection.cpp
@@ -1,7 +1,5 @@
 #include "target_connection.h"
 
-#include "fescuedyke/transport/socket.h"
-
 #include <algorithm>
 #include <unistd.h>
 
--- a/lib/transport/target_connection.h
+++ b/lib/transport/target_connection.h
@@ -3,6 +3,7 @@
 
 #include "fescuedyke/transport/body_encoder.h"
 #include "fescuedyke/transport/http_codec.h"
+#include "fescuedyke/transport/socket.h"
 #include "fescuedyke/transport/target_client.h"
 
 #include <memory>
@@ -32,6 +33,9 @@
     void cancel();
     bool connects_to(const endpoint& address) const { return address_ == address; }
     bool closed() const { return fd_ < 0; }
+    /// Returns whether nothing has arrived on the idle connection, so that what arrives next
+    /// belongs to the next request.
+    bool quiet() const { return is_quiet(fd_); }
     instant idle_deadline() const { return idle_deadline_; }
     instant last_used() const { return last_used_; }
     std::uint64_t id() const { return request_id_; }
--- a/unittests/transport/endless_response_test.cpp
+++ b/unittests/transport/endless_response_test.cpp
@@ -102,12 +102,15 @@
     {
         int fd = -1;
         ASSERT_TRUE(listen_on({"127.0.0.1", port}, fd).ok());
-        thread_ = std::thread([fd, scripts = std::move(scripts)] {
+        thread_ = std::thread([this, fd, scripts = std::move(scripts)] {
             for (const script& s : scripts) {
                 int accepted = -1;
-                while ((accepted = ::accept(fd, nullptr, nullptr)) < 0) {
+                while ((accepted = ::accept(fd, nullptr, nullptr)) < 0 && !stopped_) {
                     std::this_thread::sleep_for(std::chrono::milliseconds(1));
                 }
+                if (accepted < 0) {
+                    break;
+                }
                 raw_socket c(accepted);
                 s(c);
             }
@@ -115,11 +118,14 @@
         });
     }
 
+    /// Waits for the scripts to end. Those without a connection are skipped.
     void join_target()
     {
+        stopped_ = true;
         if (thread_.joinable()) {
             thread_.join();
         }
+        stopped_ = false;
     }
 
     static target_request make_request(bool may_stream = false)
@@ -179,6 +185,7 @@
     event_loop loop_{clock_};
     target_client client_{loop_};
     std::uint64_t next_request_ = 0;
+    std::atomic<bool> stopped_{false};
     std::thread thread_;
 };
 
@@ -199,5 +206,33 @@
     expect_truncated(head + "Transfer-Encoding: chunked\r\n\r\n", repeat("4\r\nbody\r\n"));
 }
 
+// Guards against an answer of bytes that arrived before their request was sent.
+TEST_F(endless_target, a_connection_with_unread_bytes_is_not_reused)
+{
+    std::atomic<bool> sent{false};
+    const std::string head = "HTTP/1.1 200 OK\r\nId: 1\r\nContent-Length: 4\r\n\r\n";
+    run_target({[&](raw_socket& c) {
+                    c.read_until("\r\n\r\n");
+                    c.send(head + "mine");
+                    std::this_thread::sleep_for(std::chrono::milliseconds(100));
+                    c.send(head + "none");
+                    sent = true;
+                    c.send_until_closed(repeat("x"), endless_bytes);
+                },
+                [&](raw_socket& c) {
+                    c.read_until("\r\n\r\n");
+                    c.send(head + "next");
+                    c.wait_for_close();
+                }});
+    send(make_request());
+    while (!sent) {
+        std::this_thread::sleep_for(std::chrono::milliseconds(1));
+    }
+    const target_result second = send(make_request());
+    const auto* next = std::get_if<http_response>(&second);
+    EXPECT_TRUE(next != nullptr && *next->body == "next");
+    client_.close_idle();
+}
+
 } // namespace
 } // namespace fescuedyke
