End the streaming of a response body at the deadline

What callers saw: a target whose answer never ends held its connection, a stream between the nodes and the connection of the caller for ever; the caller got an answer without end. Cause: once the head is delivered, the call has ended for the core, and no deadline applied to the rest. Now the connection to the target is closed 100 ms after the deadline of the call, which resets the stream and closes the caller's connection before the body looks complete. Before, body_streaming.a_response_without_end_is_truncated_at_the_deadline (after the receive timeout of 20 s): Value of: closed Actual: false Expected: true After: passes in 601 ms; transport_tests pass (41 tests). The new test of a caller that disconnects while no byte flows passed before, too; it covers both hops.

--- a/include/fescuedyke/transport/target_client.h
+++ b/include/fescuedyke/transport/target_client.h
@@ -31,6 +31,9 @@
     bool may_resend = false;
     /// Whether a long response may be delivered before its body is complete, as a streamed body.
     bool may_stream_response = false;
+    /// Time until the deadline of the call. A streamed response body that lasts longer is
+    /// truncated.
+    std::optional<millis> time_left{};
     /// A header that the response must repeat unchanged. A response without it belongs to another
     /// request.
     std::optional<header> required_echo{};
--- a/lib/daemon/traffic_runtime.cpp
+++ b/lib/daemon/traffic_runtime.cpp
@@ -437,6 +437,7 @@
 {
     target_request request = dialect_.to_target(action);
     request.address = target_address_;
+    request.time_left = action.time_left;
     const inbound_id call = action.call;
     dispatched_at_[call] = loop_.now().now;
     target_.send(call.value(), request, [this, call](target_result result) {
--- a/lib/transport/target_connection.cpp
+++ b/lib/transport/target_connection.cpp
@@ -24,6 +24,10 @@
 /// which is decided elsewhere.
 constexpr millis stale_connection_window{30};
 
+/// Time after the deadline of a call for which its response body may still be streamed: a response
+/// that was complete at the deadline may still be on its way.
+constexpr millis streamed_body_allowance{100};
+
 /// Maximum number of bytes read for one request while its response is buffered: the response and
 /// those to other requests before it.
 constexpr std::uint64_t max_buffered_response_bytes = 16U << 20U;
@@ -212,6 +216,7 @@
 
 void target_client::connection::end_streaming()
 {
+    stop_body_timer();
     response_body_->finish();
     response_body_.reset();
     reusable_ = reusable_ && reader_.keep_alive() && input_.empty();
@@ -219,6 +224,28 @@
     reuse_or_close();
 }
 
+void target_client::connection::start_body_timer()
+{
+    if (!request_.time_left) {
+        return;
+    }
+    const millis elapsed = owner_.loop_.now().now - request_started_;
+    const millis remaining = *request_.time_left + streamed_body_allowance - elapsed;
+    body_timer_ = owner_.loop_.run_after(remaining, [self = weak_from_this()] {
+        if (const std::shared_ptr<connection> c = self.lock()) {
+            c->body_timer_.reset();
+            c->close();
+        }
+    });
+}
+
+void target_client::connection::stop_body_timer()
+{
+    if (body_timer_) {
+        owner_.loop_.cancel(*std::exchange(body_timer_, std::nullopt));
+    }
+}
+
 void target_client::connection::resume_reading()
 {
     if (!response_body_) {
@@ -270,6 +297,7 @@
     response.body_stream = response_body_->make_reader();
     response_body_->write(reader_.take_body_part());
     const std::shared_ptr<connection> self = shared_from_this();
+    start_body_timer();
     response_delivered_ = true;
     owner_.busy_.erase(request_id_);
     std::exchange(done_, nullptr)(std::move(response));
@@ -379,6 +407,7 @@
 
 void target_client::connection::close_socket()
 {
+    stop_body_timer();
     request_body_.reset();
     response_body_.reset();
     if (fd_ >= 0) {
--- a/lib/transport/target_connection.h
+++ b/lib/transport/target_connection.h
@@ -7,6 +7,7 @@
 #include "fescuedyke/transport/target_client.h"
 
 #include <memory>
+#include <optional>
 #include <string>
 #include <sys/epoll.h>
 #include <utility>
@@ -57,6 +58,9 @@
     /// Parses the next part of a streamed body. Returns whether to read on at once.
     bool read_streamed_body();
     void end_streaming();
+    /// Limits the time for which the response body may be streamed.
+    void start_body_timer();
+    void stop_body_timer();
     void resume_reading();
     /// Parses the response. Returns whether to read on at once.
     bool read_response();
@@ -99,6 +103,8 @@
     std::size_t output_offset_ = 0;
     /// Whether any byte of the request has been sent.
     bool any_sent_ = false;
+    /// Closes the connection if the response body is still streamed at the deadline.
+    std::optional<timer_id> body_timer_;
     bool response_delivered_ = false;
     bool reusable_ = true;
     instant request_started_;
--- a/unittests/transport/body_streaming_test.cpp
+++ b/unittests/transport/body_streaming_test.cpp
@@ -102,6 +102,9 @@
 
     void join_target() { target_thread_.join(); }
 
+    /// Time until the deadline of each call.
+    std::atomic<millis> time_left_{millis(60'000)};
+
 private:
     void forward_to_peer(exchange_id e, const http_request& r)
     {
@@ -144,6 +147,7 @@
         r.address = {"127.0.0.1", target_port};
         r.request = request;
         r.may_stream_response = true;
+        r.time_left = time_left_;
         target_client_.send(id.value(), r, [this, id](const target_result& result) {
             const auto* response = std::get_if<http_response>(&result);
             if (response == nullptr) {
@@ -344,6 +348,48 @@
     EXPECT_TRUE(closed);
 }
 
+// Guards against a target that holds its connection, a stream and a caller after the head of its
+// answer.
+TEST_F(body_streaming, a_response_without_end_is_truncated_at_the_deadline)
+{
+    time_left_ = millis(500);
+    std::atomic<bool> closed{false};
+    run_target([&](raw_socket& c) {
+        std::string rest;
+        receive_head(c, rest);
+        c.send("HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n");
+        c.send("100000\r\n" + make_pattern(1U << 20U) + "\r\n1");
+        closed = c.wait_for_close();
+    });
+    raw_socket c = raw_socket::connect(caller_port);
+    c.send("GET /down HTTP/1.1\r\nHost: a\r\n\r\n");
+    std::string rest;
+    EXPECT_EQ(receive_head(c, rest).substr(0, 12), "HTTP/1.1 200");
+    EXPECT_EQ((rest + c.read_to_end()).find("\r\n0\r\n\r\n"), std::string::npos);
+    join_target();
+    EXPECT_TRUE(closed);
+}
+
+// Guards against a target that goes on working for a caller that is gone while no byte flows.
+TEST_F(body_streaming, a_caller_disconnect_during_a_silent_response_closes_the_target_connection)
+{
+    std::atomic<bool> closed{false};
+    run_target([&](raw_socket& c) {
+        std::string rest;
+        receive_head(c, rest);
+        c.send("HTTP/1.1 200 OK\r\n\r\n" + make_pattern(600U << 10U));
+        closed = c.wait_for_close();
+    });
+    raw_socket c = raw_socket::connect(caller_port);
+    c.send("GET /down HTTP/1.1\r\nHost: a\r\n\r\n");
+    std::string rest;
+    receive_head(c, rest);
+    receive_body(c, rest, 600U << 10U);
+    c.close();
+    join_target();
+    EXPECT_TRUE(closed);
+}
+
 RC_GTEST_PROP(body_stream, the_bytes_read_equal_the_bytes_written, ())
 {
     const std::string body = make_pattern(*rc::gen::inRange<std::size_t>(0, 2U << 20U));
