--- a/lib/transport/target_connection.cpp
+++ b/lib/transport/target_connection.cpp
@@ -1,7 +1,5 @@
 #include "target_connection.h"
 
-#include "fescuedyke/transport/socket.h"
-
 #include <algorithm>
 #include <unistd.h>
 
@@ -26,6 +24,14 @@
 /// which is decided elsewhere.
 constexpr millis stale_connection_window{30};
 
+/// Time after the deadline of a call for which its response body may still be streamed: a response
+/// that was complete at the deadline may still be on its way.
+constexpr millis streamed_body_allowance{100};
+
+/// Maximum number of bytes read for one request while its response is buffered: the response and
+/// those to other requests before it.
+constexpr std::uint64_t max_buffered_response_bytes = 16U << 20U;
+
 } // namespace
 
 bool target_client::connection::connect()
@@ -49,6 +55,7 @@
     request_ = request;
     done_ = std::move(done);
     any_sent_ = false;
+    received_bytes_ = 0;
     reader_.begin(request.request->method);
     std::vector<header> extra = request.extra_headers;
     if (find_header(request.request->headers, "host") == nullptr) {
@@ -165,7 +172,9 @@
 void target_client::connection::on_readable()
 {
     for (;;) {
+        const std::size_t before = input_.size();
         const socket_read_result result = read_some(fd_, input_);
+        received_bytes_ += input_.size() - before;
         if (result == socket_read_result::would_block) {
             return;
         }
@@ -207,6 +216,7 @@
 
 void target_client::connection::end_streaming()
 {
+    stop_body_timer();
     response_body_->finish();
     response_body_.reset();
     reusable_ = reusable_ && reader_.keep_alive() && input_.empty();
@@ -214,6 +224,28 @@
     reuse_or_close();
 }
 
+void target_client::connection::start_body_timer()
+{
+    if (!request_.time_left) {
+        return;
+    }
+    const millis elapsed = owner_.loop_.now().now - request_started_;
+    const millis remaining = *request_.time_left + streamed_body_allowance - elapsed;
+    body_timer_ = owner_.loop_.run_after(remaining, [self = weak_from_this()] {
+        if (const std::shared_ptr<connection> c = self.lock()) {
+            c->body_timer_.reset();
+            c->close();
+        }
+    });
+}
+
+void target_client::connection::stop_body_timer()
+{
+    if (body_timer_) {
+        owner_.loop_.cancel(*std::exchange(body_timer_, std::nullopt));
+    }
+}
+
 void target_client::connection::resume_reading()
 {
     if (!response_body_) {
@@ -236,13 +268,20 @@
             return false;
         }
         if (progress == read_progress::incomplete) {
-            return !request_.may_stream_response || !reader_.is_streamed() || begin_streaming();
+            break;
         }
         if (deliver(reader_.take())) {
             return false;
         }
         reader_.begin(request_.request->method);
     }
+    if (request_.may_stream_response && reader_.is_streamed()) {
+        return begin_streaming();
+    }
+    if (received_bytes_ > max_buffered_response_bytes) {
+        fail(target_failure::truncated);
+        return false;
+    }
     return true;
 }
 
@@ -258,6 +297,7 @@
     response.body_stream = response_body_->make_reader();
     response_body_->write(reader_.take_body_part());
     const std::shared_ptr<connection> self = shared_from_this();
+    start_body_timer();
     response_delivered_ = true;
     owner_.busy_.erase(request_id_);
     std::exchange(done_, nullptr)(std::move(response));
@@ -367,6 +407,7 @@
 
 void target_client::connection::close_socket()
 {
+    stop_body_timer();
     request_body_.reset();
     response_body_.reset();
     if (fd_ >= 0) {
--- a/lib/transport/target_connection.h
+++ b/lib/transport/target_connection.h
@@ -3,9 +3,11 @@
 
 #include "fescuedyke/transport/body_encoder.h"
 #include "fescuedyke/transport/http_codec.h"
+#include "fescuedyke/transport/socket.h"
 #include "fescuedyke/transport/target_client.h"
 
 #include <memory>
+#include <optional>
 #include <string>
 #include <sys/epoll.h>
 #include <utility>
@@ -32,6 +34,9 @@
     void cancel();
     bool connects_to(const endpoint& address) const { return address_ == address; }
     bool closed() const { return fd_ < 0; }
+    /// Returns whether nothing has arrived on the idle connection, so that what arrives next
+    /// belongs to the next request.
+    bool quiet() const { return is_quiet(fd_); }
     instant idle_deadline() const { return idle_deadline_; }
     instant last_used() const { return last_used_; }
     std::uint64_t id() const { return request_id_; }
@@ -53,6 +58,9 @@
     /// Parses the next part of a streamed body. Returns whether to read on at once.
     bool read_streamed_body();
     void end_streaming();
+    /// Limits the time for which the response body may be streamed.
+    void start_body_timer();
+    void stop_body_timer();
     void resume_reading();
     /// Parses the response. Returns whether to read on at once.
     bool read_response();
@@ -88,11 +96,15 @@
     std::unique_ptr<body_encoder> request_body_;
     std::unique_ptr<body_writer> response_body_;
     std::string input_;
+    /// Bytes received since the current request was started.
+    std::uint64_t received_bytes_ = 0;
     /// Bytes to send; those before \c output_offset_ have been sent.
     std::string output_;
     std::size_t output_offset_ = 0;
     /// Whether any byte of the request has been sent.
     bool any_sent_ = false;
+    /// Closes the connection if the response body is still streamed at the deadline.
+    std::optional<timer_id> body_timer_;
     bool response_delivered_ = false;
     bool reusable_ = true;
     instant request_started_;
