Pass on no request behind a response that may end its connection

Callers of HTTP/1.0 that pipeline lost requests: an answer of unknown length ends with the connection, and the requests behind it that had been passed on were cancelled without an answer. Cause: whether a response ends the connection was known only when it arrived, after further requests had been passed on. A connection now passes on no request behind one of a client that does not accept chunks until that one is answered.

nothing_is_dispatched_behind_a_response_that_may_end_with_the_connection, before: requests_.size() is 3, expected 2; cancelled_.empty() is false after: passes.

--- a/lib/transport/http_connection.cpp
+++ b/lib/transport/http_connection.cpp
@@ -105,6 +105,7 @@
 {
     const bool ends_at_close =
         response.body_stream && !response.body_stream->length() && !pending.accepts_chunked;
+    last_request_seen_ = last_request_seen_ || ends_at_close;
     pending.close = pending.close || server_.draining_ || ends_at_close;
     pending.bytes = response_head(response, pending.close, pending.accepts_chunked);
     if (response.body && !pending.is_head_request) {
@@ -133,7 +134,11 @@
     if (incoming_body_) {
         return incoming_body_->available_bytes() > 0;
     }
-    return !last_request_seen_ && pending_responses_.size() < max_pipelined_requests;
+    // The response to a client that does not accept chunks may end with the connection.
+    const bool may_end_connection =
+        !pending_responses_.empty() && !pending_responses_.back().accepts_chunked;
+    return !last_request_seen_ && !may_end_connection &&
+           pending_responses_.size() < max_pipelined_requests;
 }
 
 void http_server::connection::on_socket_ready(std::uint32_t events)
--- a/lib/transport/http_connection.h
+++ b/lib/transport/http_connection.h
@@ -78,7 +78,8 @@
     /// direction is shut down: closing the connection could lose the response.
     void finish_closing();
     /// Posts the parsing of the rest of the input buffer to the loop. The input stays in the buffer
-    /// while too many requests are open or a streamed body has no room.
+    /// while too many requests are open, one that may end the connection is open, or a streamed
+    /// body has no room.
     void schedule_parsing();
     void update_watched_events();
     /// Cancels the pending requests and reports them as cut off for \p reason.
