Answer all pipelined requests of a connection in a drain

Callers that pipelined lost requests when a node stopped: the first response had "Connection: close", the connection ended behind it, and the requests behind it, which had been passed on, were cancelled; their finished responses were discarded. Cause: one flag stood for "the server drains" and for "this is the last response".

The last request is now decided when it is passed on, or when the drain begins for the newest open one. Only its response has "Connection: close", and nothing behind it is parsed. A request that is partly received when the drain begins is the last one; an idle connection serves one more. The head of a response is made when it is queued, so that a known response that waits for its turn can still become the last one. An assertion states that no request is behind the response that closes the connection.

--- a/include/fescuedyke/transport/http_server.h
+++ b/include/fescuedyke/transport/http_server.h
@@ -86,8 +86,11 @@
     /// after its current request, or after its next one if it is idle.
     void set_limits(const http_limits& limits) { limits_ = limits; }
 
-    /// Sends "Connection: close" with every response from now on.
-    void begin_drain() { draining_ = true; }
+    /// Ends every connection after a last response, which has "Connection: close". All requests
+    /// that were passed on are answered. The last request of a connection is the one that is being
+    /// received or, if there is none, the newest open one. A connection without either, or with
+    /// only one whose response is being sent, serves one more request.
+    void begin_drain();
     /// Closes the connections that have no open request.
     void close_idle();
     /// Stops accepting connections.
--- a/lib/transport/http_connection.cpp
+++ b/lib/transport/http_connection.cpp
@@ -1,5 +1,6 @@
 #include "http_connection.h"
 
+#include <cassert>
 #include <sys/socket.h>
 #include <unistd.h>
 #include <utility>
@@ -53,7 +54,7 @@
 void http_server::connection::respond(exchange_id exchange, const http_response& response)
 {
     for (pending_response& pending : pending_responses_) {
-        if (pending.exchange == exchange && !pending.bytes) {
+        if (pending.exchange == exchange && !pending.response) {
             set_response(pending, response);
             break;
         }
@@ -103,13 +104,9 @@
 
 void http_server::connection::set_response(pending_response& pending, const http_response& response)
 {
-    const bool ends_at_close =
-        response.body_stream && !response.body_stream->length() && !pending.accepts_chunked;
-    last_request_seen_ = last_request_seen_ || ends_at_close;
-    pending.close = pending.close || server_.draining_ || ends_at_close;
-    pending.bytes = response_head(response, pending.close, pending.accepts_chunked);
-    if (response.body && !pending.is_head_request) {
-        *pending.bytes += *response.body;
+    pending.response = response;
+    if (response.body_stream && !response.body_stream->length() && !pending.accepts_chunked) {
+        end_after(pending);
     }
     if (response.body_stream && !pending.is_head_request) {
         pending.streamed_body = std::make_unique<body_encoder>(
@@ -117,6 +114,24 @@
     }
 }
 
+void http_server::connection::end_after(pending_response& pending)
+{
+    assert(&pending == &pending_responses_.back() && "a request is behind the last one");
+    pending.close = true;
+    last_request_seen_ = true;
+}
+
+void http_server::connection::begin_drain()
+{
+    const bool receives_request = !incoming_body_ && (!input_.empty() || request_in_progress_);
+    if (receives_request || pending_responses_.empty() || pending_responses_.back().head_queued) {
+        // The next request is the last one.
+        return;
+    }
+    end_after(pending_responses_.back());
+    update_watched_events();
+}
+
 body_callback http_server::connection::make_loop_callback(void (connection::*step)())
 {
     return [self = weak_from_this(), &loop = server_.loop_, step] {
@@ -250,16 +265,15 @@
 {
     incoming_body_.reset();
     const std::shared_ptr<connection> self = shared_from_this();
-    if (pending_responses_.empty() || pending_responses_.back().bytes) {
+    if (pending_responses_.empty() || pending_responses_.back().response) {
         close(connection_end::body_malformed);
         return;
     }
-    last_request_seen_ = true;
     request_in_progress_ = false;
     input_.clear();
     pending_response& pending = pending_responses_.back();
-    pending.close = true;
-    pending.bytes = response_head(empty_response(status), true);
+    end_after(pending);
+    pending.response = empty_response(status);
     if (server_.connection_by_exchange_.erase(pending.exchange) > 0) {
         server_.handlers_.on_cancelled(pending.exchange);
     }
@@ -279,7 +293,7 @@
     pending_response pending;
     pending.exchange = exchange_id(server_.next_exchange_++);
     pending.is_head_request = request.method == "HEAD";
-    pending.close = !reader_.keep_alive();
+    pending.close = !reader_.keep_alive() || server_.draining_;
     pending.reserved_bytes = std::exchange(reserved_bytes_, 0);
     pending.accepts_chunked = reader_.accepts_chunked();
     last_request_seen_ = pending.close;
@@ -308,7 +322,7 @@
     input_.clear();
     pending_response pending;
     pending.close = true;
-    pending.bytes = response_head(empty_response(status), true);
+    pending.response = empty_response(status);
     pending_responses_.push_back(std::move(pending));
     flush();
 }
@@ -343,13 +357,25 @@
     }
 }
 
+void http_server::connection::queue_head(pending_response& pending)
+{
+    const http_response& response = *pending.response;
+    output_ += response_head(response, pending.close, pending.accepts_chunked);
+    if (response.body && !pending.is_head_request) {
+        output_ += *response.body;
+    }
+    pending.head_queued = true;
+    server_.connection_by_exchange_.erase(pending.exchange);
+    last_active_ = server_.loop_.now().now;
+}
+
 bool http_server::connection::queue_responses()
 {
-    while (!pending_responses_.empty() && pending_responses_.front().bytes) {
+    while (!pending_responses_.empty() && pending_responses_.front().response) {
         pending_response& pending = pending_responses_.front();
-        output_ += std::exchange(*pending.bytes, "");
-        server_.connection_by_exchange_.erase(pending.exchange);
-        last_active_ = server_.loop_.now().now;
+        if (!pending.head_queued) {
+            queue_head(pending);
+        }
         const body_state body_state =
             pending.streamed_body ? pending.streamed_body->fill(output_) : body_state::complete;
         if (body_state == body_state::aborted) {
@@ -361,11 +387,10 @@
             return true;
         }
         server_.buffered_bytes_ -= pending.reserved_bytes;
-        closing_ = closing_ || pending.close;
+        closing_ = pending.close;
         pending_responses_.pop_front();
-        if (closing_) {
-            cancel_pending_responses(connection_end::last_response);
-        }
+        assert((!closing_ || pending_responses_.empty()) &&
+               "a request is behind the last response of its connection");
     }
     return true;
 }
@@ -419,7 +444,7 @@
     for (const pending_response& pending : open) {
         server_.buffered_bytes_ -= pending.reserved_bytes;
         const bool was_dispatched = server_.connection_by_exchange_.erase(pending.exchange) > 0;
-        if (was_dispatched && !pending.bytes) {
+        if (was_dispatched && !pending.response) {
             ++cut.open_requests;
             server_.handlers_.on_cancelled(pending.exchange);
         }
--- a/lib/transport/http_connection.h
+++ b/lib/transport/http_connection.h
@@ -28,6 +28,8 @@
     void check_timeouts(instant now);
     void close(connection_end reason);
     void close_if_idle();
+    /// Decides which response is the last one of the connection.
+    void begin_drain();
     /// Returns whether bytes of a response wait to be sent.
     bool has_unsent_bytes() const { return output_offset_ < output_.size(); }
 
@@ -36,18 +38,22 @@
     struct pending_response {
         exchange_id exchange;
         bool is_head_request = false;
-        /// Whether the connection is closed after this response.
+        /// Whether this is the last response of its connection. No request behind it is passed on.
         bool close = false;
         /// Bytes reserved for the body of the request until its response has been sent.
         std::uint64_t reserved_bytes = 0;
         bool accepts_chunked = true;
-        /// The serialized response, without a streamed body; empty until it is known.
-        std::optional<std::string> bytes;
+        /// The response; empty until it is known.
+        std::optional<http_response> response;
+        /// Whether the head of the response was moved to the output buffer.
+        bool head_queued = false;
         /// The rest of the response, if its body is streamed.
         std::unique_ptr<body_encoder> streamed_body;
     };
 
     void set_response(pending_response& pending, const http_response& response);
+    /// Makes \p pending, which must be the newest, the last response of the connection.
+    void end_after(pending_response& pending);
     /// Returns a callback that posts a call of \p step to the loop. The call is dropped once the
     /// connection is closed.
     body_callback make_loop_callback(void (connection::*step)());
@@ -71,6 +77,7 @@
     /// Responds with \p status to a request that was not accepted and closes the connection.
     void reject(int status);
     void flush();
+    void queue_head(pending_response& pending);
     /// Moves the available responses, in the order of their requests, to the output buffer. Returns
     /// false if the connection had to be closed.
     bool queue_responses();
--- a/lib/transport/http_server.cpp
+++ b/lib/transport/http_server.cpp
@@ -147,6 +147,14 @@
                       [](const auto& entry) { return entry.second->has_unsent_bytes(); }));
 }
 
+void http_server::begin_drain()
+{
+    draining_ = true;
+    for (const auto& [id, c] : connections_) {
+        c->begin_drain();
+    }
+}
+
 void http_server::close_idle()
 {
     const std::map<std::uint64_t, std::shared_ptr<connection>> open = connections_;
--- a/unittests/transport/http_connection_end_test.cpp
+++ b/unittests/transport/http_connection_end_test.cpp
@@ -28,5 +28,88 @@
     EXPECT_TRUE(cancelled_.empty());
 }
 
+// Guards against a drain that cuts off pipelined requests that were passed on.
+TEST_F(http_connection_end, a_drain_answers_every_open_request_and_closes_with_the_last_one)
+{
+    caller c;
+    c.send(get("/1") + get("/2") + get("/3"));
+    ASSERT_TRUE(wait_for_requests(3));
+    server_->begin_drain();
+    c.send(get("/4"));
+    settle();
+    answer("/2", "two");
+    answer("/1", "one");
+    settle();
+    answer("/3", "three");
+    receive_to_end(c);
+    EXPECT_TRUE(cancelled_.empty());
+    EXPECT_EQ(count_of(c.received(), close_header), 1U);
+    EXPECT_LT(c.received().find("one"), c.received().find("two"));
+    EXPECT_LT(c.received().find("two"), c.received().find(close_header));
+    EXPECT_NE(c.received().find("three"), std::string::npos);
+    // The request behind the last one is not read, so that the caller can send it again.
+    EXPECT_EQ(requests_.count("/4"), 0U);
+}
+
+// Guards against a drain that cuts off a request of which a part was received before.
+TEST_F(http_connection_end, a_partly_received_request_is_the_last_one_of_a_drain)
+{
+    caller c;
+    c.send(get("/1") + "GET /2 HTT");
+    ASSERT_TRUE(wait_for_requests(1));
+    server_->begin_drain();
+    answer("/1", "one");
+    ASSERT_TRUE(receive_text(c, "one"));
+    EXPECT_EQ(count_of(c.received(), close_header), 0U);
+    c.send("P/1.1\r\nHost: a\r\n\r\n" + get("/3"));
+    ASSERT_TRUE(wait_for_requests(2));
+    settle();
+    answer("/2", "two");
+    receive_to_end(c);
+    EXPECT_NE(c.received().find("two"), std::string::npos);
+    EXPECT_EQ(count_of(c.received(), close_header), 1U);
+    EXPECT_EQ(requests_.size(), 2U);
+    EXPECT_TRUE(cancelled_.empty());
+}
+
+// Guards against requests that are passed on during a drain behind the last one.
+TEST_F(http_connection_end, an_idle_connection_serves_one_more_request_in_a_drain)
+{
+    caller c;
+    turn_until([&] { return server_->connections() == 1; });
+    server_->begin_drain();
+    c.send(get("/1") + get("/2"));
+    ASSERT_TRUE(wait_for_requests(1));
+    settle();
+    answer("/1", "one");
+    receive_to_end(c);
+    EXPECT_NE(c.received().find("one"), std::string::npos);
+    EXPECT_EQ(count_of(c.received(), close_header), 1U);
+    EXPECT_EQ(requests_.size(), 1U);
+    EXPECT_TRUE(cancelled_.empty());
+}
+
+// Guards against a response with a queued head that a drain takes for one that can still announce
+// the end of the connection.
+TEST_F(http_connection_end, a_drain_during_a_streamed_response_leaves_one_more_request)
+{
+    caller c;
+    c.send(get("/1"));
+    ASSERT_TRUE(wait_for_requests(1));
+    std::unique_ptr<body_writer> body = answer_streamed("/1");
+    ASSERT_TRUE(receive_text(c, "\r\n\r\n"));
+    server_->begin_drain();
+    c.send(get("/2") + get("/3"));
+    ASSERT_TRUE(wait_for_requests(2));
+    body->write("one");
+    body->finish();
+    answer("/2", "two");
+    receive_to_end(c);
+    EXPECT_NE(c.received().find("one"), std::string::npos);
+    EXPECT_NE(c.received().find("two"), std::string::npos);
+    EXPECT_EQ(requests_.size(), 2U);
+    EXPECT_TRUE(cancelled_.empty());
+}
+
 } // namespace
 } // namespace fescuedyke
