Keep the responses of a connection when the rest of a body cannot be read

Callers lost the answers to earlier pipelined requests, and the finished answer to the request itself, when the rest of a streamed body was malformed after the request had been answered, or when a body stalled for the idle timeout. Cause: both closed the connection at once. The response to the request whose body cannot be read is now the last one of the connection, and everything before it is delivered. A request that was passed on and whose body stalls is answered with 504, which does not promise that it did not run.

--- a/include/fescuedyke/transport/http_server.h
+++ b/include/fescuedyke/transport/http_server.h
@@ -27,10 +27,6 @@
     /// The connection was reset, or sent data stayed unacknowledged for too long.
     connection_failed,
     idle_timeout,
-    /// A part of a streamed request body did not arrive in time.
-    body_timeout,
-    /// The rest of a streamed request body could not be parsed after the request was answered.
-    body_malformed,
     /// The source of a streamed response body broke off.
     response_aborted,
     /// The server was destroyed.
--- a/lib/transport/http_connection.cpp
+++ b/lib/transport/http_connection.cpp
@@ -18,6 +18,8 @@
 
 constexpr int head_timeout_status = 408;
 constexpr int unavailable_status = 503;
+/// The request was passed on, so the status must not promise that it did not run.
+constexpr int body_timeout_status = 504;
 
 http_response empty_response(int status)
 {
@@ -76,7 +78,7 @@
         return;
     }
     if (incoming_body_ && can_read_more() && now - last_read_ > server_.limits_.idle_timeout) {
-        close(connection_end::body_timeout);
+        fail_streaming(body_timeout_status);
     }
 }
 
@@ -263,18 +265,22 @@
 
 void http_server::connection::fail_streaming(int status)
 {
-    incoming_body_.reset();
     const std::shared_ptr<connection> self = shared_from_this();
-    if (pending_responses_.empty() || pending_responses_.back().response) {
-        close(connection_end::body_malformed);
-        return;
-    }
+    incoming_body_.reset();
     request_in_progress_ = false;
     input_.clear();
+    if (pending_responses_.empty()) {
+        last_request_seen_ = true;
+        closing_ = true;
+        flush();
+        return;
+    }
+    // The newest request is the one whose body was being received.
     pending_response& pending = pending_responses_.back();
     end_after(pending);
-    pending.response = empty_response(status);
-    if (server_.connection_by_exchange_.erase(pending.exchange) > 0) {
+    if (!pending.response) {
+        pending.response = empty_response(status);
+        server_.connection_by_exchange_.erase(pending.exchange);
         server_.handlers_.on_cancelled(pending.exchange);
     }
     flush();
--- a/lib/transport/http_connection.h
+++ b/lib/transport/http_connection.h
@@ -66,8 +66,8 @@
     /// Parses the next part of a streamed body. Returns whether the input buffer may contain more
     /// to parse.
     bool read_streamed_body();
-    /// Called when the rest of a streamed body cannot be parsed. Responds with \p status, unless
-    /// the request was answered before.
+    /// Called when the rest of a streamed body cannot be read. Responds with \p status, unless the
+    /// request was answered before, and makes this response the last one of the connection.
     void fail_streaming(int status);
     void end_streaming();
     void dispatch(http_request request);
--- a/lib/transport/http_server.cpp
+++ b/lib/transport/http_server.cpp
@@ -29,10 +29,6 @@
         return "connection-failed";
     case connection_end::idle_timeout:
         return "idle-timeout";
-    case connection_end::body_timeout:
-        return "body-timeout";
-    case connection_end::body_malformed:
-        return "body-malformed";
     case connection_end::response_aborted:
         return "response-aborted";
     case connection_end::server_stopped:
--- a/unittests/transport/http_connection_end_test.cpp
+++ b/unittests/transport/http_connection_end_test.cpp
@@ -111,5 +111,54 @@
     EXPECT_TRUE(cancelled_.empty());
 }
 
+// Guards against finished responses and open requests that are discarded because the rest of an
+// answered request's body is malformed.
+TEST_F(http_connection_end, a_malformed_rest_of_an_answered_request_discards_no_response)
+{
+    caller c;
+    c.send(get("/1"));
+    ASSERT_TRUE(wait_for_requests(1));
+    const std::string part(700U << 10U, 'x');
+    std::string upload =
+        "POST /2 HTTP/1.1\r\nHost: a\r\nTransfer-Encoding: chunked\r\n\r\naf000\r\n" + part +
+        "\r\nno size\r\n\r\n";
+    upload.erase(0, c.send(upload));
+    turn_until([&] {
+        upload.erase(0, c.send(upload));
+        return upload.empty() && requests_.count("/2") == 1;
+    });
+    answer("/2", "two");
+    std::string bytes(64U << 10U, '\0');
+    const std::shared_ptr<body_reader> reader = requests_["/2"].request.body_stream;
+    ASSERT_NE(reader, nullptr);
+    const std::uint64_t pass = reader->rewind({});
+    turn_until([&] {
+        reader->read(pass, bytes.data(), bytes.size());
+        return reader->state(pass) == body_state::aborted;
+    });
+    answer("/1", "one");
+    receive_to_end(c);
+    EXPECT_TRUE(cancelled_.empty());
+    EXPECT_NE(c.received().find("one"), std::string::npos);
+    EXPECT_NE(c.received().find("two"), std::string::npos);
+}
+
+// Guards against open requests that are cut off because the body of a later one stalls.
+TEST_F(http_connection_end, a_body_that_stalls_cuts_off_no_other_request)
+{
+    caller c;
+    c.send(get("/1"));
+    ASSERT_TRUE(wait_for_requests(1));
+    c.send("POST /2 HTTP/1.1\r\nHost: a\r\nContent-Length: 9000000\r\n\r\npart");
+    ASSERT_TRUE(wait_for_requests(2));
+    pass_time(millis(70'000));
+    ASSERT_EQ(cancelled_.size(), 1U);
+    EXPECT_EQ(cancelled_.front(), requests_["/2"].exchange);
+    answer("/1", "one");
+    receive_to_end(c);
+    EXPECT_NE(c.received().find("one"), std::string::npos);
+    EXPECT_NE(c.received().find("HTTP/1.1 504"), std::string::npos);
+}
+
 } // namespace
 } // namespace fescuedyke
