State whether the HTTP server has sent everything

A process that stops could end while responses were being sent: open_exchanges(), by which it decides, falls when the head of a response is queued, and does not count a request that is being received. http_server::idle() states whether no request is being received or open, all bytes were passed to the sockets and no connection is being closed. The processes do not use it yet.

--- a/include/fescuedyke/transport/http_server.h
+++ b/include/fescuedyke/transport/http_server.h
@@ -94,6 +94,10 @@
 
     /// Returns the bytes reserved for request bodies over all connections.
     std::uint64_t buffered_bytes() const { return buffered_bytes_; }
+    /// Returns whether no request is being received or open, all bytes of the responses were passed
+    /// to their sockets, and no connection is still being closed.
+    bool idle() const;
+    /// Returns the requests of whose responses no byte was queued.
     std::size_t open_exchanges() const { return connection_by_exchange_.size(); }
     std::size_t connections() const { return connections_.size(); }
     /// Returns the connections whose responses were not sent completely.
--- a/lib/transport/http_connection.cpp
+++ b/lib/transport/http_connection.cpp
@@ -66,9 +66,7 @@
 
 void http_server::connection::check_timeouts(instant now)
 {
-    const bool idle = pending_responses_.empty() && output_.empty();
-    const bool has_partial_request = !input_.empty() || request_in_progress_;
-    if (idle && !has_partial_request && now - last_active_ > server_.limits_.idle_timeout) {
+    if (is_idle() && now - last_active_ > server_.limits_.idle_timeout) {
         close(connection_end::idle_timeout);
         return;
     }
@@ -99,7 +97,7 @@
 
 void http_server::connection::close_if_idle()
 {
-    if (pending_responses_.empty() && output_.empty() && input_.empty() && !request_in_progress_) {
+    if (is_idle()) {
         close(connection_end::idle_timeout);
     }
 }
@@ -125,8 +123,7 @@
 
 void http_server::connection::begin_drain()
 {
-    const bool receives_request = !incoming_body_ && (!input_.empty() || request_in_progress_);
-    if (receives_request || pending_responses_.empty() || pending_responses_.back().head_queued) {
+    if (receives_request() || pending_responses_.empty() || pending_responses_.back().head_queued) {
         // The next request is the last one.
         return;
     }
@@ -134,6 +131,17 @@
     update_watched_events();
 }
 
+bool http_server::connection::receives_request() const
+{
+    return !last_request_seen_ && !incoming_body_ && (request_in_progress_ || !input_.empty());
+}
+
+bool http_server::connection::is_idle() const
+{
+    return !closing_ && pending_responses_.empty() && output_.empty() && !incoming_body_ &&
+           !receives_request();
+}
+
 body_callback http_server::connection::make_loop_callback(void (connection::*step)())
 {
     return [self = weak_from_this(), &loop = server_.loop_, step] {
--- a/lib/transport/http_connection.h
+++ b/lib/transport/http_connection.h
@@ -30,6 +30,9 @@
     void close_if_idle();
     /// Decides which response is the last one of the connection.
     void begin_drain();
+    /// Returns whether nothing is being received, answered or sent, and the connection is not being
+    /// closed.
+    bool is_idle() const;
     /// Returns whether bytes of a response wait to be sent.
     bool has_unsent_bytes() const { return output_offset_ < output_.size(); }
 
@@ -58,6 +61,8 @@
     /// connection is closed.
     body_callback make_loop_callback(void (connection::*step)());
     bool can_read_more() const;
+    /// Returns whether bytes of a request that was not passed on yet were received.
+    bool receives_request() const;
     void on_socket_ready(std::uint32_t events);
     void on_readable(std::uint32_t events);
     void parse_requests();
--- a/unittests/transport/http_connection_end_test.cpp
+++ b/unittests/transport/http_connection_end_test.cpp
@@ -160,5 +160,32 @@
     EXPECT_NE(c.received().find("HTTP/1.1 504"), std::string::npos);
 }
 
+// Guards against a process that ends while a response is still being sent.
+TEST_F(http_connection_end, the_server_is_idle_only_when_the_last_byte_is_sent)
+{
+    caller c(small_receive_buffer);
+    EXPECT_TRUE(server_->idle());
+    c.send("GET /1 HTT");
+    turn_until([&] { return !server_->idle(); });
+    EXPECT_FALSE(server_->idle());
+    c.send("P/1.1\r\nHost: a\r\n\r\n");
+    ASSERT_TRUE(wait_for_requests(1));
+    EXPECT_FALSE(server_->idle());
+    answer("/1", std::string(long_body_bytes, 'x') + "end");
+    settle();
+    EXPECT_EQ(server_->open_exchanges(), 0U);
+    EXPECT_FALSE(server_->idle());
+    EXPECT_TRUE(receive_text(c, "xend"));
+    EXPECT_TRUE(turn_until([&] { return server_->idle(); }));
+
+    c.send(get("/2"));
+    ASSERT_TRUE(wait_for_requests(2));
+    std::unique_ptr<body_writer> body = answer_streamed("/2");
+    ASSERT_TRUE(receive_text(c, "chunked"));
+    EXPECT_FALSE(server_->idle());
+    body->finish();
+    EXPECT_TRUE(turn_until([&] { return server_->idle(); }));
+}
+
 } // namespace
 } // namespace fescuedyke
