End connections without resetting them

Callers that read slowly lost the end of a response: if a further request lay unread in the socket when the server closed it, TCP reset the connection and discarded what was still in flight. close_idle() did the same to a response whose bytes were all in the socket but not at the caller, and it and the idle timeout closed connections on which a request had arrived that was not read yet.

After the last response only the sending direction is shut down. Nothing more is read, so that a request that crosses the end counts as not read, and the server closes the socket when the caller has closed its end, or one second after the caller has acknowledged everything. An idle connection ends in the same way, and only if no unread bytes have arrived on it. The memory reserved for a rejected request is released at once. idle-timeout is no longer a reason of a cut, since an idle connection has nothing to cut off.

The drain's test now also requires that the stream ends without a reset.

--- a/include/fescuedyke/transport/http_server.h
+++ b/include/fescuedyke/transport/http_server.h
@@ -26,7 +26,6 @@
     client_closed,
     /// The connection was reset, or sent data stayed unacknowledged for too long.
     connection_failed,
-    idle_timeout,
     /// The source of a streamed response body broke off.
     response_aborted,
     /// The server was destroyed.
@@ -87,7 +86,7 @@
     /// received or, if there is none, the newest open one. A connection without either, or with
     /// only one whose response is being sent, serves one more request.
     void begin_drain();
-    /// Closes the connections that have no open request.
+    /// Ends the connections that are idle and on which no further request has arrived.
     void close_idle();
     /// Stops accepting connections.
     void stop_listening();
@@ -95,7 +94,9 @@
     /// Returns the bytes reserved for request bodies over all connections.
     std::uint64_t buffered_bytes() const { return buffered_bytes_; }
     /// Returns whether no request is being received or open, all bytes of the responses were passed
-    /// to their sockets, and no connection is still being closed.
+    /// to their sockets, and no connection is still being closed. A connection is being closed from
+    /// its last sent byte until the caller closes it too, or until the caller has received
+    /// everything and a fixed time has passed.
     bool idle() const;
     /// Returns the requests of whose responses no byte was queued.
     std::size_t open_exchanges() const { return connection_by_exchange_.size(); }
--- a/lib/transport/http_connection.cpp
+++ b/lib/transport/http_connection.cpp
@@ -1,6 +1,8 @@
 #include "http_connection.h"
 
 #include <cassert>
+#include <linux/sockios.h>
+#include <sys/ioctl.h>
 #include <sys/socket.h>
 #include <unistd.h>
 #include <utility>
@@ -16,6 +18,10 @@
 /// closed.
 constexpr millis caller_ack_timeout{10'000};
 
+/// Maximum time between the moment at which the caller has received everything and the end of its
+/// own direction, which it closes.
+constexpr millis caller_close_timeout{1000};
+
 constexpr int head_timeout_status = 408;
 constexpr int unavailable_status = 503;
 /// The request was passed on, so the status must not promise that it did not run.
@@ -29,6 +35,20 @@
     return response;
 }
 
+/// Returns whether bytes have arrived that were not read.
+bool has_unread_bytes(int fd)
+{
+    int bytes = 0;
+    return ::ioctl(fd, FIONREAD, &bytes) == 0 && bytes > 0;
+}
+
+/// Returns whether the peer has not acknowledged everything that was sent.
+bool has_unacknowledged_bytes(int fd)
+{
+    int bytes = 0;
+    return ::ioctl(fd, SIOCOUTQ, &bytes) == 0 && bytes > 0;
+}
+
 } // namespace
 
 http_server::connection::connection(http_server& server, std::uint64_t id, int fd)
@@ -66,10 +86,13 @@
 
 void http_server::connection::check_timeouts(instant now)
 {
-    if (is_idle() && now - last_active_ > server_.limits_.idle_timeout) {
-        close(connection_end::idle_timeout);
+    if (sending_ended_ && !incoming_body_) {
+        check_closing(now);
         return;
     }
+    if (now - last_active_ > server_.limits_.idle_timeout) {
+        close_if_idle();
+    }
     if (request_in_progress_ && reader_.in_head() &&
         now - request_started_ > server_.limits_.head_timeout) {
         reject(head_timeout_status);
@@ -97,8 +120,11 @@
 
 void http_server::connection::close_if_idle()
 {
-    if (is_idle()) {
-        close(connection_end::idle_timeout);
+    // A request that has arrived is served.
+    if (is_idle() && !has_unread_bytes(fd_)) {
+        last_request_seen_ = true;
+        closing_ = true;
+        finish_closing();
     }
 }
 
@@ -334,6 +360,7 @@
     last_request_seen_ = true;
     request_in_progress_ = false;
     input_.clear();
+    server_.buffered_bytes_ -= std::exchange(reserved_bytes_, 0);
     pending_response pending;
     pending.close = true;
     pending.response = empty_response(status);
@@ -411,14 +438,24 @@
 
 void http_server::connection::finish_closing()
 {
-    if (!incoming_body_) {
-        close(connection_end::last_response);
-        return;
-    }
     ::shutdown(fd_, SHUT_WR);
+    sending_ended_ = true;
+    closing_since_ = server_.loop_.now().now;
     update_watched_events();
 }
 
+void http_server::connection::check_closing(instant now)
+{
+    if (has_unacknowledged_bytes(fd_)) {
+        // The caller reads slowly. TCP_USER_TIMEOUT ends the connection if it does not read at all.
+        closing_since_ = now;
+        return;
+    }
+    if (now - closing_since_ > caller_close_timeout) {
+        close(connection_end::last_response);
+    }
+}
+
 void http_server::connection::schedule_parsing()
 {
     parsing_scheduled_ = true;
--- a/lib/transport/http_connection.h
+++ b/lib/transport/http_connection.h
@@ -27,6 +27,7 @@
     void respond(exchange_id exchange, const http_response& response);
     void check_timeouts(instant now);
     void close(connection_end reason);
+    /// Ends the connection if it is idle and no further request has arrived.
     void close_if_idle();
     /// Decides which response is the last one of the connection.
     void begin_drain();
@@ -86,9 +87,12 @@
     /// Moves the available responses, in the order of their requests, to the output buffer. Returns
     /// false if the connection had to be closed.
     bool queue_responses();
-    /// Called after the last response. While the client is still sending its body, only the sending
-    /// direction is shut down: closing the connection could lose the response.
+    /// Called after the last response. Shuts down the sending direction and waits for the caller to
+    /// close its own: closing the connection while bytes of a further request arrive would reset
+    /// it, and the caller could lose the response. Further requests are not read.
     void finish_closing();
+    /// Closes the connection if the caller, which has received everything, does not close it.
+    void check_closing(instant now);
     /// Posts the parsing of the rest of the input buffer to the loop. The input stays in the buffer
     /// while too many requests are open, one that may end the connection is open, or a streamed
     /// body has no room.
@@ -117,7 +121,12 @@
     bool parsing_scheduled_ = false;
     /// Whether no further request is accepted.
     bool last_request_seen_ = false;
+    /// Whether nothing is sent behind the bytes that are queued.
     bool closing_ = false;
+    /// Whether the sending direction was shut down.
+    bool sending_ended_ = false;
+    /// When the caller was last known not to have received everything.
+    instant closing_since_;
     instant request_started_;
     instant last_active_;
 };
--- a/lib/transport/http_server.cpp
+++ b/lib/transport/http_server.cpp
@@ -27,8 +27,6 @@
         return "client-closed";
     case connection_end::connection_failed:
         return "connection-failed";
-    case connection_end::idle_timeout:
-        return "idle-timeout";
     case connection_end::response_aborted:
         return "response-aborted";
     case connection_end::server_stopped:
--- a/unittests/transport/http_connection_end_test.cpp
+++ b/unittests/transport/http_connection_end_test.cpp
@@ -43,6 +43,7 @@
     answer("/3", "three");
     receive_to_end(c);
     EXPECT_TRUE(cancelled_.empty());
+    EXPECT_TRUE(c.ended());
     EXPECT_EQ(count_of(c.received(), close_header), 1U);
     EXPECT_LT(c.received().find("one"), c.received().find("two"));
     EXPECT_LT(c.received().find("two"), c.received().find(close_header));
@@ -187,5 +188,75 @@
     EXPECT_TRUE(turn_until([&] { return server_->idle(); }));
 }
 
+// Guards against a close that resets the connection while its last response is still on its way.
+TEST_F(http_connection_end, a_caller_that_reads_late_gets_the_whole_last_response)
+{
+    caller c(small_receive_buffer);
+    c.send(get("/1", std::string(close_header) + "\r\n"));
+    ASSERT_TRUE(wait_for_requests(1));
+    c.send(get("/2"));
+    answer("/1", std::string(long_body_bytes, 'x') + "end");
+    settle();
+    receive_until(
+        c, [] { return false; }, 16U << 10U);
+    EXPECT_TRUE(c.ended());
+    EXPECT_FALSE(c.failed());
+    EXPECT_NE(c.received().find("xend"), std::string::npos) << c.received().size();
+    EXPECT_EQ(requests_.size(), 1U);
+    EXPECT_FALSE(server_->idle());
+    c.close();
+    EXPECT_TRUE(turn_until([&] { return server_->connections() == 0; }));
+    EXPECT_TRUE(server_->idle());
+}
+
+// Guards against a connection that stays open for ever because its caller does not close it.
+TEST_F(http_connection_end, a_caller_that_does_not_close_its_end_is_closed_after_a_time)
+{
+    caller c;
+    c.send(get("/1", std::string(close_header) + "\r\n"));
+    ASSERT_TRUE(wait_for_requests(1));
+    answer("/1", "one");
+    receive_to_end(c);
+    EXPECT_TRUE(c.ended());
+    EXPECT_EQ(server_->connections(), 1U);
+    // The time begins when the caller's side has acknowledged everything.
+    turn_until([&] {
+        pass_time(millis(500));
+        return server_->connections() == 0;
+    });
+    EXPECT_EQ(server_->connections(), 0U);
+}
+
+// Guards against a close of idle connections that discards a request that has arrived and the
+// response that is on its way.
+TEST_F(http_connection_end,
+       a_request_that_has_arrived_keeps_its_connection_from_being_closed_as_idle)
+{
+    caller c(small_receive_buffer);
+    c.send(get("/1"));
+    ASSERT_TRUE(wait_for_requests(1));
+    answer("/1", std::string(long_body_bytes, 'x') + "one.");
+    receive_until(
+        c, [&] { return server_->connections_with_unsent_bytes() == 0; }, 16U << 10U);
+    c.send(get("/2"));
+    server_->close_idle();
+    wait_for_requests(2);
+    answer("/2", "two.");
+    EXPECT_TRUE(receive_text(c, "two."));
+    EXPECT_NE(c.received().find("xone."), std::string::npos) << c.received().size();
+
+    pass_time(millis(59'000));
+    loop_.post([&] {
+        c.send(get("/3"));
+        clock_.advance(millis(2000));
+    });
+    wait_for_requests(3);
+    answer("/3", "three.");
+    EXPECT_TRUE(receive_text(c, "three."));
+    server_->close_idle();
+    receive_to_end(c);
+    EXPECT_TRUE(c.ended());
+}
+
 } // namespace
 } // namespace fescuedyke
