Measure the idle time from the last sent byte

A connection was closed right after a response that took longer to send than the idle timeout, so that the caller's next request crossed the close. Cause: the idle time began when the response was queued. It now begins when the last byte has been passed to the socket, or when a streamed body has been received completely.

a_connection_is_idle_from_its_last_sent_byte_on, before: wait_for_requests(2) is false: the request that follows is not served after: passes.

--- a/lib/transport/http_connection.cpp
+++ b/lib/transport/http_connection.cpp
@@ -326,6 +326,7 @@
     incoming_body_.reset();
     reader_.begin_next_request();
     request_in_progress_ = false;
+    last_active_ = server_.loop_.now().now;
 }
 
 void http_server::connection::dispatch(http_request request)
@@ -382,6 +383,9 @@
             break;
         }
         const bool wrote_any = !output_.empty();
+        if (wrote_any) {
+            last_active_ = server_.loop_.now().now;
+        }
         output_.clear();
         output_offset_ = 0;
         if (closing_ && pending_responses_.empty()) {
@@ -407,7 +411,6 @@
     }
     pending.head_queued = true;
     server_.connection_by_exchange_.erase(pending.exchange);
-    last_active_ = server_.loop_.now().now;
 }
 
 bool http_server::connection::queue_responses()
--- a/lib/transport/http_connection.h
+++ b/lib/transport/http_connection.h
@@ -128,6 +128,7 @@
     /// When the caller was last known not to have received everything.
     instant closing_since_;
     instant request_started_;
+    /// When the last response was sent or the last streamed body was received, whichever is later.
     instant last_active_;
 };
 
--- a/unittests/transport/http_connection_end_test.cpp
+++ b/unittests/transport/http_connection_end_test.cpp
@@ -258,5 +258,26 @@
     EXPECT_TRUE(c.ended());
 }
 
+// Guards against a connection that is closed as idle right after a response that took long to send.
+TEST_F(http_connection_end, a_connection_is_idle_from_its_last_sent_byte_on)
+{
+    caller c(small_receive_buffer);
+    c.send(get("/1"));
+    ASSERT_TRUE(wait_for_requests(1));
+    answer("/1", std::string(long_body_bytes, 'x') + "one.");
+    settle();
+    pass_time(millis(70'000));
+    ASSERT_TRUE(receive_text(c, "xone."));
+    turn_until([&] { return server_->connections_with_unsent_bytes() == 0; });
+    pass_time(millis(1000));
+    c.send(get("/2"));
+    EXPECT_TRUE(wait_for_requests(2));
+    answer("/2", "two.");
+    EXPECT_TRUE(receive_text(c, "two."));
+    pass_time(millis(70'000));
+    receive_to_end(c);
+    EXPECT_TRUE(c.ended());
+}
+
 } // namespace
 } // namespace fescuedyke
