Let a body time out only while the server reads it

A streamed upload was cut off, and its request cancelled, although the caller was ready to send: after the target had not read for longer than the idle timeout, the check of the timeouts could run between the moment at which room was available and the first read. Cause: it compared with the last read, which was as old as the wait for room. The time now begins again when reading is resumed, and counts only while the socket is watched for input.

a_body_that_waits_for_room_does_not_time_out, before: cancelled_.empty() is false; 720896 of bytes received after: passes.

--- a/lib/transport/http_connection.cpp
+++ b/lib/transport/http_connection.cpp
@@ -98,7 +98,8 @@
         reject(head_timeout_status);
         return;
     }
-    if (incoming_body_ && can_read_more() && now - last_read_ > server_.limits_.idle_timeout) {
+    const bool reading = (watched_events_ & EPOLLIN) != 0;
+    if (incoming_body_ && reading && now - last_read_ > server_.limits_.idle_timeout) {
         fail_streaming(body_timeout_status);
     }
 }
@@ -481,6 +482,9 @@
     const std::uint32_t ends = incoming_body_ && !reading ? 0U : EPOLLRDHUP;
     const std::uint32_t wanted =
         ends | (reading ? EPOLLIN : 0U) | (output_.empty() ? 0U : EPOLLOUT);
+    if (reading && (watched_events_ & EPOLLIN) == 0) {
+        last_read_ = server_.loop_.now().now;
+    }
     if (wanted != watched_events_) {
         watched_events_ = wanted;
         server_.loop_.update_watch(fd_, wanted);
--- a/lib/transport/http_connection.h
+++ b/lib/transport/http_connection.h
@@ -117,6 +117,7 @@
     std::uint64_t reserved_bytes_ = 0;
     /// Receives the rest of a streamed body.
     std::unique_ptr<body_writer> incoming_body_;
+    /// When bytes were last read, or reading was resumed after a time without room for them.
     instant last_read_;
     bool parsing_scheduled_ = false;
     /// Whether no further request is accepted.
--- a/unittests/transport/http_connection_end_test.cpp
+++ b/unittests/transport/http_connection_end_test.cpp
@@ -279,5 +279,44 @@
     EXPECT_TRUE(c.ended());
 }
 
+// Guards against a request that is cut off because the server itself did not read its body for a
+// time.
+TEST_F(http_connection_end, a_body_that_waits_for_room_does_not_time_out)
+{
+    caller c;
+    const std::size_t size = 24U << 20U;
+    std::string upload = "POST /1 HTTP/1.1\r\nHost: a\r\nContent-Length: " + std::to_string(size) +
+                         "\r\n\r\n" + std::string(size, 'x');
+    upload.erase(0, c.send(upload));
+    ASSERT_TRUE(wait_for_requests(1));
+    for (int i = 0; i < 10; ++i) {
+        upload.erase(0, c.send(upload));
+        settle();
+    }
+    pass_time(millis(70'000));
+    ASSERT_TRUE(cancelled_.empty());
+    const std::shared_ptr<body_reader> reader = requests_["/1"].request.body_stream;
+    const std::uint64_t pass = reader->rewind({});
+    std::string bytes(64U << 10U, '\0');
+    std::size_t received = 0;
+    loop_.post([&] {
+        received += reader->read(pass, bytes.data(), bytes.size());
+        while (reader->can_rewind()) {
+            received += reader->read(pass, bytes.data(), bytes.size());
+        }
+        clock_.advance(millis(500));
+    });
+    turn();
+    EXPECT_TRUE(cancelled_.empty());
+    turn_until([&] {
+        upload.erase(0, c.send(upload));
+        received += reader->read(pass, bytes.data(), bytes.size());
+        return reader->state(pass) != body_state::open;
+    });
+    EXPECT_EQ(received, size);
+    answer("/1", "one.");
+    EXPECT_TRUE(receive_text(c, "one."));
+}
+
 } // namespace
 } // namespace fescuedyke
