Send an expected 100 (Continue) after the earlier responses

A caller that pipelined a request with "Expect: 100-continue" behind an open one waited for ever: the expectation was taken note of and dropped while the earlier request was open. The 100 (Continue) is now sent once all earlier responses are queued.

an_expected_continue_follows_the_responses_to_earlier_requests, before: "100 Continue" is not received within the test's limit after: passes.

--- a/lib/transport/http_connection.cpp
+++ b/lib/transport/http_connection.cpp
@@ -250,8 +250,7 @@
             return;
         }
         if (progress == read_progress::incomplete) {
-            if (reader_.take_expect_continue() && pending_responses_.empty()) {
-                output_ += continue_response_head();
+            if (queue_continue()) {
                 flush();
             }
             if (!reader_.is_streamed()) {
@@ -376,6 +375,7 @@
         if (!queue_responses() || fd_ < 0) {
             return;
         }
+        queue_continue();
         if (!send_some(fd_, output_, output_offset_)) {
             close(connection_end::connection_failed);
             return;
@@ -440,6 +440,19 @@
     return true;
 }
 
+bool http_server::connection::queue_continue()
+{
+    // The responses to earlier requests come first.
+    const bool is_next =
+        incoming_body_ ? pending_responses_.size() == 1 && !pending_responses_.front().response
+                       : pending_responses_.empty();
+    if (!request_in_progress_ || !is_next || !reader_.take_expect_continue()) {
+        return false;
+    }
+    output_ += continue_response_head();
+    return true;
+}
+
 void http_server::connection::finish_closing()
 {
     ::shutdown(fd_, SHUT_WR);
--- a/lib/transport/http_connection.h
+++ b/lib/transport/http_connection.h
@@ -87,6 +87,9 @@
     /// Moves the available responses, in the order of their requests, to the output buffer. Returns
     /// false if the connection had to be closed.
     bool queue_responses();
+    /// Queues a 100 (Continue) response if the client of the request that is being received expects
+    /// one and earlier requests are answered. Returns whether it did.
+    bool queue_continue();
     /// Called after the last response. Shuts down the sending direction and waits for the caller to
     /// close its own: closing the connection while bytes of a further request arrive would reset
     /// it, and the caller could lose the response. Further requests are not read.
--- a/unittests/transport/http_connection_end_test.cpp
+++ b/unittests/transport/http_connection_end_test.cpp
@@ -318,5 +318,24 @@
     EXPECT_TRUE(receive_text(c, "one."));
 }
 
+// Guards against a caller that waits for ever for the permission to send its body.
+TEST_F(http_connection_end, an_expected_continue_follows_the_responses_to_earlier_requests)
+{
+    caller c;
+    c.send(get("/1"));
+    ASSERT_TRUE(wait_for_requests(1));
+    c.send("POST /2 HTTP/1.1\r\nHost: a\r\nExpect: 100-continue\r\nContent-Length: 3\r\n\r\n");
+    settle();
+    answer("/1", "one.");
+    ASSERT_TRUE(receive_text(c, "one."));
+    EXPECT_TRUE(receive_text(c, "100 Continue"));
+    EXPECT_LT(c.received().find("one."), c.received().find("100 Continue"));
+    c.send("abc");
+    ASSERT_TRUE(wait_for_requests(2));
+    answer("/2", "two.");
+    EXPECT_TRUE(receive_text(c, "two."));
+    EXPECT_EQ(count_of(c.received(), "100 Continue"), 1U);
+}
+
 } // namespace
 } // namespace fescuedyke
