Pass on no request of a connection that failed

A request with "Expect: 100-continue" and a long body was passed on after its caller had reset the connection, if the 100 (Continue) failed to be sent. Its exchange belonged to no connection: it was never cancelled, it stayed open until the process ended, and an answer to it failed an assertion. Parsing now ends with the connection.

a_request_whose_continue_cannot_be_sent_is_not_dispatched, before: server_->open_exchanges() is 1, expected 0 after: passes.

--- a/lib/transport/http_connection.cpp
+++ b/lib/transport/http_connection.cpp
@@ -253,6 +253,9 @@
             if (queue_continue()) {
                 flush();
             }
+            if (fd_ < 0) {
+                return;
+            }
             if (!reader_.is_streamed()) {
                 return;
             }
--- a/unittests/transport/http_connection_end_test.cpp
+++ b/unittests/transport/http_connection_end_test.cpp
@@ -337,5 +337,20 @@
     EXPECT_EQ(count_of(c.received(), "100 Continue"), 1U);
 }
 
+// Guards against an exchange that belongs to a connection that no longer exists.
+TEST_F(http_connection_end, a_request_whose_continue_cannot_be_sent_is_not_dispatched)
+{
+    {
+        caller c;
+        c.send("POST /1 HTTP/1.1\r\nHost: a\r\nExpect: 100-continue\r\nContent-Length: "
+               "9000000\r\n\r\n");
+        c.reset();
+    }
+    settle();
+    turn_until([&] { return server_->connections() == 0; });
+    EXPECT_EQ(server_->open_exchanges(), 0U);
+    EXPECT_EQ(server_->buffered_bytes(), 0U);
+}
+
 } // namespace
 } // namespace fescuedyke
