Deliver earlier responses when a later one breaks off

Callers that pipelined lost the end of a finished response when the streamed response behind it broke off: the connection was closed with the bytes of the earlier response unsent. The bytes that are queued are now sent before the connection ends. The broken response still lacks its end, so it does not look complete.

a_response_that_breaks_off_discards_no_earlier_response, before: "xend" not received; 4189434 bytes instead of more than 8388611 after: passes.

--- a/lib/transport/http_connection.cpp
+++ b/lib/transport/http_connection.cpp
@@ -375,7 +375,8 @@
 void http_server::connection::flush()
 {
     for (;;) {
-        if (!queue_responses() || fd_ < 0) {
+        queue_responses();
+        if (fd_ < 0) {
             return;
         }
         queue_continue();
@@ -417,7 +418,7 @@
     server_.connection_by_exchange_.erase(pending.exchange);
 }
 
-bool http_server::connection::queue_responses()
+void http_server::connection::queue_responses()
 {
     while (!pending_responses_.empty() && pending_responses_.front().response) {
         pending_response& pending = pending_responses_.front();
@@ -427,12 +428,11 @@
         const body_state body_state =
             pending.streamed_body ? pending.streamed_body->fill(output_) : body_state::complete;
         if (body_state == body_state::aborted) {
-            // Closing the connection lets the caller detect that the response is truncated.
-            close(connection_end::response_aborted);
-            return false;
+            break_off();
+            return;
         }
         if (body_state == body_state::open) {
-            return true;
+            return;
         }
         server_.buffered_bytes_ -= pending.reserved_bytes;
         closing_ = pending.close;
@@ -440,7 +440,19 @@
         assert((!closing_ || pending_responses_.empty()) &&
                "a request is behind the last response of its connection");
     }
-    return true;
+}
+
+void http_server::connection::break_off()
+{
+    // The end of the connection lets the caller detect that the response is truncated. The bytes
+    // before it are still sent: they contain earlier responses.
+    const std::shared_ptr<connection> self = shared_from_this();
+    last_request_seen_ = true;
+    closing_ = true;
+    cancel_pending_responses(connection_end::response_aborted);
+    incoming_body_.reset();
+    request_in_progress_ = false;
+    input_.clear();
 }
 
 bool http_server::connection::queue_continue()
--- a/lib/transport/http_connection.h
+++ b/lib/transport/http_connection.h
@@ -84,9 +84,11 @@
     void reject(int status);
     void flush();
     void queue_head(pending_response& pending);
-    /// Moves the available responses, in the order of their requests, to the output buffer. Returns
-    /// false if the connection had to be closed.
-    bool queue_responses();
+    /// Moves the available responses, in the order of their requests, to the output buffer.
+    void queue_responses();
+    /// Called when the source of a streamed response body broke off. Cancels the requests behind it
+    /// and ends the connection once the queued bytes are sent.
+    void break_off();
     /// Queues a 100 (Continue) response if the client of the request that is being received expects
     /// one and earlier requests are answered. Returns whether it did.
     bool queue_continue();
--- a/unittests/transport/http_connection_end_test.cpp
+++ b/unittests/transport/http_connection_end_test.cpp
@@ -28,6 +28,26 @@
     EXPECT_TRUE(cancelled_.empty());
 }
 
+// Guards against finished responses that are discarded because a later response breaks off.
+TEST_F(http_connection_end, a_response_that_breaks_off_discards_no_earlier_response)
+{
+    caller c(small_receive_buffer);
+    c.send(get("/1") + get("/2") + get("/3"));
+    ASSERT_TRUE(wait_for_requests(3));
+    std::unique_ptr<body_writer> body = answer_streamed("/2");
+    body->write("part");
+    answer("/1", std::string(long_body_bytes, 'x') + "end");
+    settle();
+    body.reset();
+    settle();
+    EXPECT_EQ(cancelled_, std::vector<exchange_id>{requests_["/3"].exchange});
+    receive_to_end(c);
+    EXPECT_TRUE(c.ended());
+    EXPECT_NE(c.received().find("xend"), std::string::npos) << c.received().size();
+    // The response that broke off lacks its last chunk.
+    EXPECT_EQ(c.received().find("\r\n0\r\n\r\n"), std::string::npos);
+}
+
 // Guards against a drain that cuts off pipelined requests that were passed on.
 TEST_F(http_connection_end, a_drain_answers_every_open_request_and_closes_with_the_last_one)
 {
