Reset a connection whose response broke off without a length

A caller of HTTP/1.0 took a response that had broken off for a complete one: the end of the connection ends a body of unknown length, and the connection ended in the same way for a broken one. Such a connection is now reset, once the caller has acknowledged the bytes before.

a_response_without_a_length_that_breaks_off_ends_with_a_reset, before: c.failed() is false and c.ended() is true after: passes.

--- a/lib/transport/http_connection.cpp
+++ b/lib/transport/http_connection.cpp
@@ -35,6 +35,19 @@
     return response;
 }
 
+/// Returns whether the end of the connection is the end of the body.
+bool ends_with_connection(const http_response& response, bool accepts_chunked)
+{
+    return response.body_stream && !response.body_stream->length() && !accepts_chunked;
+}
+
+/// Makes a later close of the socket reset the connection.
+void reset_on_close(int fd)
+{
+    const linger no_wait{1, 0};
+    ::setsockopt(fd, SOL_SOCKET, SO_LINGER, &no_wait, sizeof no_wait);
+}
+
 /// Returns whether bytes have arrived that were not read.
 bool has_unread_bytes(int fd)
 {
@@ -132,7 +145,7 @@
 void http_server::connection::set_response(pending_response& pending, const http_response& response)
 {
     pending.response = response;
-    if (response.body_stream && !response.body_stream->length() && !pending.accepts_chunked) {
+    if (ends_with_connection(response, pending.accepts_chunked)) {
         end_after(pending);
     }
     if (response.body_stream && !pending.is_head_request) {
@@ -428,6 +441,7 @@
         const body_state body_state =
             pending.streamed_body ? pending.streamed_body->fill(output_) : body_state::complete;
         if (body_state == body_state::aborted) {
+            reset_at_end_ = ends_with_connection(*pending.response, pending.accepts_chunked);
             break_off();
             return;
         }
@@ -470,7 +484,9 @@
 
 void http_server::connection::finish_closing()
 {
-    ::shutdown(fd_, SHUT_WR);
+    if (!reset_at_end_) {
+        ::shutdown(fd_, SHUT_WR);
+    }
     sending_ended_ = true;
     closing_since_ = server_.loop_.now().now;
     update_watched_events();
@@ -483,6 +499,11 @@
         closing_since_ = now;
         return;
     }
+    if (reset_at_end_) {
+        reset_on_close(fd_);
+        close(connection_end::response_aborted);
+        return;
+    }
     if (now - closing_since_ > caller_close_timeout) {
         close(connection_end::last_response);
     }
--- a/lib/transport/http_connection.h
+++ b/lib/transport/http_connection.h
@@ -129,8 +129,11 @@
     bool last_request_seen_ = false;
     /// Whether nothing is sent behind the bytes that are queued.
     bool closing_ = false;
-    /// Whether the sending direction was shut down.
+    /// Whether all bytes were passed to the socket and no more will be.
     bool sending_ended_ = false;
+    /// Whether a reset ends the connection: a response whose end is the end of the connection broke
+    /// off and must not look complete.
+    bool reset_at_end_ = false;
     /// When the caller was last known not to have received everything.
     instant closing_since_;
     instant request_started_;
--- a/unittests/transport/http_connection_end_test.cpp
+++ b/unittests/transport/http_connection_end_test.cpp
@@ -48,6 +48,26 @@
     EXPECT_EQ(c.received().find("\r\n0\r\n\r\n"), std::string::npos);
 }
 
+// Guards against a response that broke off and looks complete, because its end is the end of the
+// connection.
+TEST_F(http_connection_end, a_response_without_a_length_that_breaks_off_ends_with_a_reset)
+{
+    caller c;
+    c.send("GET /1 HTTP/1.0\r\n\r\n");
+    ASSERT_TRUE(wait_for_requests(1));
+    std::unique_ptr<body_writer> body = answer_streamed("/1");
+    body->write("part");
+    ASSERT_TRUE(receive_text(c, "part"));
+    body.reset();
+    turn_until([&] {
+        pass_time(millis(500));
+        c.receive(1);
+        return c.failed() || c.ended();
+    });
+    EXPECT_TRUE(c.failed());
+    EXPECT_FALSE(c.ended());
+}
+
 // Guards against a drain that cuts off pipelined requests that were passed on.
 TEST_F(http_connection_end, a_drain_answers_every_open_request_and_closes_with_the_last_one)
 {
