--- a/include/fescuedyke/transport/http_server.h
+++ b/include/fescuedyke/transport/http_server.h
@@ -26,11 +26,6 @@
     client_closed,
     /// The connection was reset, or sent data stayed unacknowledged for too long.
     connection_failed,
-    idle_timeout,
-    /// A part of a streamed request body did not arrive in time.
-    body_timeout,
-    /// The rest of a streamed request body could not be parsed after the request was answered.
-    body_malformed,
     /// The source of a streamed response body broke off.
     response_aborted,
     /// The server was destroyed.
@@ -86,15 +81,24 @@
     /// after its current request, or after its next one if it is idle.
     void set_limits(const http_limits& limits) { limits_ = limits; }
 
-    /// Sends "Connection: close" with every response from now on.
-    void begin_drain() { draining_ = true; }
-    /// Closes the connections that have no open request.
+    /// Ends every connection after a last response, which has "Connection: close". All requests
+    /// that were passed on are answered. The last request of a connection is the one that is being
+    /// received or, if there is none, the newest open one. A connection without either, or with
+    /// only one whose response is being sent, serves one more request.
+    void begin_drain();
+    /// Ends the connections that are idle and on which no further request has arrived.
     void close_idle();
     /// Stops accepting connections.
     void stop_listening();
 
     /// Returns the bytes reserved for request bodies over all connections.
     std::uint64_t buffered_bytes() const { return buffered_bytes_; }
+    /// Returns whether no request is being received or open, all bytes of the responses were passed
+    /// to their sockets, and no connection is still being closed. A connection is being closed from
+    /// its last sent byte until the caller closes it too, or until the caller has received
+    /// everything and a fixed time has passed.
+    bool idle() const;
+    /// Returns the requests of whose responses no byte was queued.
     std::size_t open_exchanges() const { return connection_by_exchange_.size(); }
     std::size_t connections() const { return connections_.size(); }
     /// Returns the connections whose responses were not sent completely.
--- a/lib/transport/http_connection.cpp
+++ b/lib/transport/http_connection.cpp
@@ -1,9 +1,11 @@
 #include "http_connection.h"
 
-#include <sys/socket.h>
 #include <unistd.h>
 #include <utility>
 
+/// \file
+/// The requests of a connection accepted by the HTTP server.
+
 namespace fescuedyke {
 
 namespace {
@@ -17,6 +19,8 @@
 
 constexpr int head_timeout_status = 408;
 constexpr int unavailable_status = 503;
+/// The request was passed on, so the status must not promise that it did not run.
+constexpr int body_timeout_status = 504;
 
 http_response empty_response(int status)
 {
@@ -50,70 +54,35 @@
     });
 }
 
-void http_server::connection::respond(exchange_id exchange, const http_response& response)
-{
-    for (pending_response& pending : pending_responses_) {
-        if (pending.exchange == exchange && !pending.bytes) {
-            set_response(pending, response);
-            break;
-        }
-    }
-    flush();
-}
-
 void http_server::connection::check_timeouts(instant now)
 {
-    const bool idle = pending_responses_.empty() && output_.empty();
-    const bool has_partial_request = !input_.empty() || request_in_progress_;
-    if (idle && !has_partial_request && now - last_active_ > server_.limits_.idle_timeout) {
-        close(connection_end::idle_timeout);
+    if (sending_ended_ && !incoming_body_) {
+        check_closing(now);
         return;
     }
+    if (now - last_active_ > server_.limits_.idle_timeout) {
+        close_if_idle();
+    }
     if (request_in_progress_ && reader_.in_head() &&
         now - request_started_ > server_.limits_.head_timeout) {
         reject(head_timeout_status);
         return;
     }
-    if (incoming_body_ && can_read_more() && now - last_read_ > server_.limits_.idle_timeout) {
-        close(connection_end::body_timeout);
+    const bool reading = (watched_events_ & EPOLLIN) != 0;
+    if (incoming_body_ && reading && now - last_read_ > server_.limits_.idle_timeout) {
+        fail_streaming(body_timeout_status);
     }
 }
 
-void http_server::connection::close(connection_end reason)
+bool http_server::connection::receives_request() const
 {
-    if (fd_ < 0) {
-        return;
-    }
-    const std::shared_ptr<connection> self = shared_from_this();
-    server_.loop_.unwatch(fd_);
-    ::close(fd_);
-    fd_ = -1;
-    server_.buffered_bytes_ -= std::exchange(reserved_bytes_, 0);
-    cancel_pending_responses(reason);
-    incoming_body_.reset();
-    server_.remove_connection(id_);
+    return !last_request_seen_ && !incoming_body_ && (request_in_progress_ || !input_.empty());
 }
 
-void http_server::connection::close_if_idle()
+bool http_server::connection::is_idle() const
 {
-    if (pending_responses_.empty() && output_.empty() && input_.empty() && !request_in_progress_) {
-        close(connection_end::idle_timeout);
-    }
-}
-
-void http_server::connection::set_response(pending_response& pending, const http_response& response)
-{
-    const bool ends_at_close =
-        response.body_stream && !response.body_stream->length() && !pending.accepts_chunked;
-    pending.close = pending.close || server_.draining_ || ends_at_close;
-    pending.bytes = response_head(response, pending.close, pending.accepts_chunked);
-    if (response.body && !pending.is_head_request) {
-        *pending.bytes += *response.body;
-    }
-    if (response.body_stream && !pending.is_head_request) {
-        pending.streamed_body = std::make_unique<body_encoder>(
-            response.body_stream, pending.accepts_chunked, make_loop_callback(&connection::flush));
-    }
+    return !closing_ && pending_responses_.empty() && output_.empty() && !incoming_body_ &&
+           !receives_request();
 }
 
 body_callback http_server::connection::make_loop_callback(void (connection::*step)())
@@ -133,7 +102,11 @@
     if (incoming_body_) {
         return incoming_body_->available_bytes() > 0;
     }
-    return !last_request_seen_ && pending_responses_.size() < max_pipelined_requests;
+    // The response to a client that does not accept chunks may end with the connection.
+    const bool may_end_connection =
+        !pending_responses_.empty() && !pending_responses_.back().accepts_chunked;
+    return !last_request_seen_ && !may_end_connection &&
+           pending_responses_.size() < max_pipelined_requests;
 }
 
 void http_server::connection::on_socket_ready(std::uint32_t events)
@@ -193,10 +166,12 @@
             return;
         }
         if (progress == read_progress::incomplete) {
-            if (reader_.take_expect_continue() && pending_responses_.empty()) {
-                output_ += continue_response_head();
+            if (queue_continue()) {
                 flush();
             }
+            if (fd_ < 0) {
+                return;
+            }
             if (!reader_.is_streamed()) {
                 return;
             }
@@ -243,19 +218,22 @@
 
 void http_server::connection::fail_streaming(int status)
 {
-    incoming_body_.reset();
     const std::shared_ptr<connection> self = shared_from_this();
-    if (pending_responses_.empty() || pending_responses_.back().bytes) {
-        close(connection_end::body_malformed);
-        return;
-    }
-    last_request_seen_ = true;
+    incoming_body_.reset();
     request_in_progress_ = false;
     input_.clear();
+    if (pending_responses_.empty()) {
+        last_request_seen_ = true;
+        closing_ = true;
+        flush();
+        return;
+    }
+    // The newest request is the one whose body was being received.
     pending_response& pending = pending_responses_.back();
-    pending.close = true;
-    pending.bytes = response_head(empty_response(status), true);
-    if (server_.connection_by_exchange_.erase(pending.exchange) > 0) {
+    end_after(pending);
+    if (!pending.response) {
+        pending.response = empty_response(status);
+        server_.connection_by_exchange_.erase(pending.exchange);
         server_.handlers_.on_cancelled(pending.exchange);
     }
     flush();
@@ -267,6 +245,7 @@
     incoming_body_.reset();
     reader_.begin_next_request();
     request_in_progress_ = false;
+    last_active_ = server_.loop_.now().now;
 }
 
 void http_server::connection::dispatch(http_request request)
@@ -274,7 +253,7 @@
     pending_response pending;
     pending.exchange = exchange_id(server_.next_exchange_++);
     pending.is_head_request = request.method == "HEAD";
-    pending.close = !reader_.keep_alive();
+    pending.close = !reader_.keep_alive() || server_.draining_;
     pending.reserved_bytes = std::exchange(reserved_bytes_, 0);
     pending.accepts_chunked = reader_.accepts_chunked();
     last_request_seen_ = pending.close;
@@ -301,80 +280,14 @@
     last_request_seen_ = true;
     request_in_progress_ = false;
     input_.clear();
+    server_.buffered_bytes_ -= std::exchange(reserved_bytes_, 0);
     pending_response pending;
     pending.close = true;
-    pending.bytes = response_head(empty_response(status), true);
+    pending.response = empty_response(status);
     pending_responses_.push_back(std::move(pending));
     flush();
 }
 
-void http_server::connection::flush()
-{
-    for (;;) {
-        if (!queue_responses() || fd_ < 0) {
-            return;
-        }
-        if (!send_some(fd_, output_, output_offset_)) {
-            close(connection_end::connection_failed);
-            return;
-        }
-        if (output_offset_ < output_.size()) {
-            break;
-        }
-        const bool wrote_any = !output_.empty();
-        output_.clear();
-        output_offset_ = 0;
-        if (closing_ && pending_responses_.empty()) {
-            finish_closing();
-            return;
-        }
-        if (!wrote_any) {
-            break;
-        }
-    }
-    update_watched_events();
-    if (!input_.empty() && !parsing_scheduled_ && can_read_more()) {
-        schedule_parsing();
-    }
-}
-
-bool http_server::connection::queue_responses()
-{
-    while (!pending_responses_.empty() && pending_responses_.front().bytes) {
-        pending_response& pending = pending_responses_.front();
-        output_ += std::exchange(*pending.bytes, "");
-        server_.connection_by_exchange_.erase(pending.exchange);
-        last_active_ = server_.loop_.now().now;
-        const body_state body_state =
-            pending.streamed_body ? pending.streamed_body->fill(output_) : body_state::complete;
-        if (body_state == body_state::aborted) {
-            // Closing the connection lets the caller detect that the response is truncated.
-            close(connection_end::response_aborted);
-            return false;
-        }
-        if (body_state == body_state::open) {
-            return true;
-        }
-        server_.buffered_bytes_ -= pending.reserved_bytes;
-        closing_ = closing_ || pending.close;
-        pending_responses_.pop_front();
-        if (closing_) {
-            cancel_pending_responses(connection_end::last_response);
-        }
-    }
-    return true;
-}
-
-void http_server::connection::finish_closing()
-{
-    if (!incoming_body_) {
-        close(connection_end::last_response);
-        return;
-    }
-    ::shutdown(fd_, SHUT_WR);
-    update_watched_events();
-}
-
 void http_server::connection::schedule_parsing()
 {
     parsing_scheduled_ = true;
@@ -397,34 +310,13 @@
     const std::uint32_t ends = incoming_body_ && !reading ? 0U : EPOLLRDHUP;
     const std::uint32_t wanted =
         ends | (reading ? EPOLLIN : 0U) | (output_.empty() ? 0U : EPOLLOUT);
+    if (reading && (watched_events_ & EPOLLIN) == 0) {
+        last_read_ = server_.loop_.now().now;
+    }
     if (wanted != watched_events_) {
         watched_events_ = wanted;
         server_.loop_.update_watch(fd_, wanted);
     }
 }
 
-void http_server::connection::cancel_pending_responses(connection_end reason)
-{
-    const std::deque<pending_response> open =
-        std::exchange(pending_responses_, std::deque<pending_response>());
-    cut_connection cut;
-    cut.reason = reason;
-    cut.unsent_responses = fd_ < 0 && has_unsent_bytes() ? 1 : 0;
-    cut.unparsed_bytes = input_.size();
-    for (const pending_response& pending : open) {
-        server_.buffered_bytes_ -= pending.reserved_bytes;
-        const bool was_dispatched = server_.connection_by_exchange_.erase(pending.exchange) > 0;
-        if (was_dispatched && !pending.bytes) {
-            ++cut.open_requests;
-            server_.handlers_.on_cancelled(pending.exchange);
-        }
-        else {
-            ++cut.unsent_responses;
-        }
-    }
-    if (server_.handlers_.on_cut && cut.open_requests + cut.unsent_responses > 0) {
-        server_.handlers_.on_cut(cut);
-    }
-}
-
 } // namespace fescuedyke
--- a/lib/transport/http_connection.h
+++ b/lib/transport/http_connection.h
@@ -27,7 +27,13 @@
     void respond(exchange_id exchange, const http_response& response);
     void check_timeouts(instant now);
     void close(connection_end reason);
+    /// Ends the connection if it is idle and no further request has arrived.
     void close_if_idle();
+    /// Decides which response is the last one of the connection.
+    void begin_drain();
+    /// Returns whether nothing is being received, answered or sent, and the connection is not being
+    /// closed.
+    bool is_idle() const;
     /// Returns whether bytes of a response wait to be sent.
     bool has_unsent_bytes() const { return output_offset_ < output_.size(); }
 
@@ -36,22 +42,28 @@
     struct pending_response {
         exchange_id exchange;
         bool is_head_request = false;
-        /// Whether the connection is closed after this response.
+        /// Whether this is the last response of its connection. No request behind it is passed on.
         bool close = false;
         /// Bytes reserved for the body of the request until its response has been sent.
         std::uint64_t reserved_bytes = 0;
         bool accepts_chunked = true;
-        /// The serialized response, without a streamed body; empty until it is known.
-        std::optional<std::string> bytes;
+        /// The response; empty until it is known.
+        std::optional<http_response> response;
+        /// Whether the head of the response was moved to the output buffer.
+        bool head_queued = false;
         /// The rest of the response, if its body is streamed.
         std::unique_ptr<body_encoder> streamed_body;
     };
 
     void set_response(pending_response& pending, const http_response& response);
+    /// Makes \p pending, which must be the newest, the last response of the connection.
+    void end_after(pending_response& pending);
     /// Returns a callback that posts a call of \p step to the loop. The call is dropped once the
     /// connection is closed.
     body_callback make_loop_callback(void (connection::*step)());
     bool can_read_more() const;
+    /// Returns whether bytes of a request that was not passed on yet were received.
+    bool receives_request() const;
     void on_socket_ready(std::uint32_t events);
     void on_readable(std::uint32_t events);
     void parse_requests();
@@ -60,8 +72,8 @@
     /// Parses the next part of a streamed body. Returns whether the input buffer may contain more
     /// to parse.
     bool read_streamed_body();
-    /// Called when the rest of a streamed body cannot be parsed. Responds with \p status, unless
-    /// the request was answered before.
+    /// Called when the rest of a streamed body cannot be read. Responds with \p status, unless the
+    /// request was answered before, and makes this response the last one of the connection.
     void fail_streaming(int status);
     void end_streaming();
     void dispatch(http_request request);
@@ -71,14 +83,24 @@
     /// Responds with \p status to a request that was not accepted and closes the connection.
     void reject(int status);
     void flush();
-    /// Moves the available responses, in the order of their requests, to the output buffer. Returns
-    /// false if the connection had to be closed.
-    bool queue_responses();
-    /// Called after the last response. While the client is still sending its body, only the sending
-    /// direction is shut down: closing the connection could lose the response.
+    void queue_head(pending_response& pending);
+    /// Moves the available responses, in the order of their requests, to the output buffer.
+    void queue_responses();
+    /// Called when the source of a streamed response body broke off. Cancels the requests behind it
+    /// and ends the connection once the queued bytes are sent.
+    void break_off();
+    /// Queues a 100 (Continue) response if the client of the request that is being received expects
+    /// one and earlier requests are answered. Returns whether it did.
+    bool queue_continue();
+    /// Called after the last response. Shuts down the sending direction and waits for the caller to
+    /// close its own: closing the connection while bytes of a further request arrive would reset
+    /// it, and the caller could lose the response. Further requests are not read.
     void finish_closing();
+    /// Closes the connection if the caller, which has received everything, does not close it.
+    void check_closing(instant now);
     /// Posts the parsing of the rest of the input buffer to the loop. The input stays in the buffer
-    /// while too many requests are open or a streamed body has no room.
+    /// while too many requests are open, one that may end the connection is open, or a streamed
+    /// body has no room.
     void schedule_parsing();
     void update_watched_events();
     /// Cancels the pending requests and reports them as cut off for \p reason.
@@ -100,12 +122,22 @@
     std::uint64_t reserved_bytes_ = 0;
     /// Receives the rest of a streamed body.
     std::unique_ptr<body_writer> incoming_body_;
+    /// When bytes were last read, or reading was resumed after a time without room for them.
     instant last_read_;
     bool parsing_scheduled_ = false;
     /// Whether no further request is accepted.
     bool last_request_seen_ = false;
+    /// Whether nothing is sent behind the bytes that are queued.
     bool closing_ = false;
+    /// Whether all bytes were passed to the socket and no more will be.
+    bool sending_ended_ = false;
+    /// Whether a reset ends the connection: a response whose end is the end of the connection broke
+    /// off and must not look complete.
+    bool reset_at_end_ = false;
+    /// When the caller was last known not to have received everything.
+    instant closing_since_;
     instant request_started_;
+    /// When the last response was sent or the last streamed body was received, whichever is later.
     instant last_active_;
 };
 
--- a/lib/transport/http_server.cpp
+++ b/lib/transport/http_server.cpp
@@ -27,12 +27,6 @@
         return "client-closed";
     case connection_end::connection_failed:
         return "connection-failed";
-    case connection_end::idle_timeout:
-        return "idle-timeout";
-    case connection_end::body_timeout:
-        return "body-timeout";
-    case connection_end::body_malformed:
-        return "body-malformed";
     case connection_end::response_aborted:
         return "response-aborted";
     case connection_end::server_stopped:
@@ -147,6 +141,20 @@
                       [](const auto& entry) { return entry.second->has_unsent_bytes(); }));
 }
 
+bool http_server::idle() const
+{
+    return std::all_of(connections_.begin(), connections_.end(),
+                       [](const auto& entry) { return entry.second->is_idle(); });
+}
+
+void http_server::begin_drain()
+{
+    draining_ = true;
+    for (const auto& [id, c] : connections_) {
+        c->begin_drain();
+    }
+}
+
 void http_server::close_idle()
 {
     const std::map<std::uint64_t, std::shared_ptr<connection>> open = connections_;
