Replace a lost vote as soon as its instance asks to join with another disk

Cause: an instance that asks to join with another disk shows that its former disk is lost, but the leader still waited for 3 s of silence of the former identity.

Before: group_growth.an_instance_that_lost_its_disk_votes_2_s_after_its_return Value of: c.run_until(millis(2000), ...) Actual: false Expected: true After: passes, and the other tests of the group.

Why it works: members answer every 100 ms, so that one election timeout (600 ms) without an answer is enough to rule out a second process that uses the former disk. A leader never replaces itself.

--- a/lib/consensus/raft_members.cpp
+++ b/lib/consensus/raft_members.cpp
@@ -186,11 +186,12 @@
 bool raft_core::replace_returned_member(member_list next, const member_id& id,
                                         const pending_join& join, instant now)
 {
-    // An instance may replace only its own former identity.
+    // An instance may replace only its own former identity, whose disk it has lost. The wait rules
+    // out that another process with the same name still uses that disk.
     const auto old = std::find_if(next.begin(), next.end(),
                                   [&](const member_entry& m) { return m.id.name == id.name; });
-    if (old == next.end() ||
-        now - progress_[old->id].last_heard < settings_.member_silence_timeout) {
+    if (old == next.end() || old->id == self_ ||
+        now - progress_[old->id].last_heard < settings_.election_timeout) {
         return false;
     }
     // Change one member at a time: first demote the old identity to a learner, then replace it by
--- a/unittests/control/group_growth_test.cpp
+++ b/unittests/control/group_growth_test.cpp
@@ -208,6 +208,21 @@
     EXPECT_EQ(c.violation(), "");
 }
 
+// Guards against a vote that no disk holds any more and that is kept until a leader has waited for
+// 3 s, though its instance has asked to join with another disk.
+TEST(group_growth, an_instance_that_lost_its_disk_votes_2_s_after_its_return)
+{
+    control_cluster c(3, 21, growing_group_settings());
+    start_group_of_five(c);
+    const std::string wiped_member = *c.leader() == "m2" ? "m3" : "m2";
+    c.crash(wiped_member);
+    c.disk(wiped_member).wipe();
+    c.run_for(millis(900));
+    ASSERT_TRUE(c.start(wiped_member).ok());
+    EXPECT_TRUE(c.run_until(millis(2000), [&] { return votes_with_its_disk(c, wiped_member); }));
+    EXPECT_EQ(c.violation(), "");
+}
+
 // Guards against a removed instance that keeps its vote, because each election starts the wait for
 // its silence anew, for longer than the 4 s during which its successor counts as lost.
 TEST(group_growth, a_successor_votes_4_s_after_its_start_despite_two_elections)
