Promote a learner before the silent voter in whose place it votes is removed

Operators saw: a change that was accepted while two instances were cut off is gone after the loss of two disks.

Cause: a silent voter was removed as soon as a learner existed, even one that had not caught up or had ended again. The next silent voter followed, so that three voters were left and two disks made a quorum. Two disks may be lost.

Before: group_growth.cut_off_voters_are_not_removed_before_a_learner_votes_in_their_place Expected: (voters_of(c).size()) >= (5U), actual: 3 vs 5 After: passes, and the other tests of the group.

Why it works: the number of voters goes from five to six and back, never below five. With six voters, two of them lost, the other four are a quorum, as three of five are. If the silent voter answers again meanwhile, the last voter becomes a learner again.

--- a/include/fescuedyke/consensus/raft_core.h
+++ b/include/fescuedyke/consensus/raft_core.h
@@ -38,8 +38,9 @@
     /// Whether a member with an empty log may vote in the bootstrap election.
     bool may_bootstrap = true;
     /// Number of voters to maintain. While there are fewer, learners that have caught up become
-    /// voters; further instances that ask to join become spare learners, which replace silent
-    /// voters. With 0, only the initial members take part.
+    /// voters; further instances that ask to join become spare learners. If a voter is silent, a
+    /// spare learner is promoted first, and then the silent voter is removed. With 0, only the
+    /// initial members take part.
     std::size_t desired_voters = 0;
 };
 
@@ -170,6 +171,7 @@
                                  instant now);
     bool promote_learner(instant now);
     bool remove_silent_member(instant now);
+    bool demote_extra_voter(instant now);
     bool add_learner(const member_id& id, const pending_join& join, instant now);
     bool is_silent(const member_entry& m, instant now) const;
     void become_leader(instant now);
--- a/lib/consensus/raft_members.cpp
+++ b/lib/consensus/raft_members.cpp
@@ -111,9 +111,13 @@
 
 bool raft_core::promote_learner(instant now)
 {
-    const bool needs_voter =
-        settings_.desired_voters == 0 || voter_count() < settings_.desired_voters;
     member_list next = log_.members();
+    const bool replaces_silent_voter =
+        voter_count() == settings_.desired_voters &&
+        std::any_of(next.begin(), next.end(),
+                    [&](const member_entry& m) { return m.voter && is_silent(m, now); });
+    const bool needs_voter = settings_.desired_voters == 0 || replaces_silent_voter ||
+                             voter_count() < settings_.desired_voters;
     for (member_entry& m : next) {
         const progress& p = progress_[m.id];
         const bool caught_up =
@@ -136,13 +140,11 @@
         return false;
     }
     member_list next = log_.members();
-    const bool spare_available = std::any_of(next.begin(), next.end(), [&](const member_entry& m) {
-        return !m.voter && !is_silent(m, now);
-    });
-    // Remove a silent voter only if a learner is available to replace it. Remove a silent learner
-    // in any case.
+    // Remove a silent voter only after a learner was promoted in its place: with fewer voters, a
+    // change is accepted on fewer disks. Remove a silent learner in any case.
+    const bool has_extra_voter = voter_count() > settings_.desired_voters;
     const auto removable = std::find_if(next.begin(), next.end(), [&](const member_entry& m) {
-        return is_silent(m, now) && (m.voter ? spare_available : true);
+        return is_silent(m, now) && (!m.voter || has_extra_voter);
     });
     if (removable == next.end()) {
         return false;
@@ -151,6 +153,26 @@
     return propose_members(std::move(next), now).ok();
 }
 
+bool raft_core::demote_extra_voter(instant now)
+{
+    const auto has_answered = [&](const member_entry& m) {
+        return m.id == self_ || now - progress_[m.id].last_heard < settings_.election_timeout;
+    };
+    member_list next = log_.members();
+    const bool all_answer = std::all_of(next.begin(), next.end(), [&](const member_entry& m) {
+        return !m.voter || has_answered(m);
+    });
+    if (settings_.desired_voters == 0 || voter_count() <= settings_.desired_voters || !all_answer) {
+        return false;
+    }
+    // The voter that a learner should replace answers again.
+    const auto extra = std::find_if(next.rbegin(), next.rend(), [&](const member_entry& m) {
+        return m.voter && m.id != self_;
+    });
+    extra->voter = false;
+    return propose_members(std::move(next), now).ok();
+}
+
 bool raft_core::add_learner(const member_id& id, const pending_join& join, instant now)
 {
     constexpr std::size_t max_spare_learners = 2;
@@ -180,7 +202,9 @@
             return;
         }
     }
-    remove_silent_member(now);
+    if (!remove_silent_member(now)) {
+        demote_extra_voter(now);
+    }
 }
 
 bool raft_core::replace_returned_member(member_list next, const member_id& id,
--- a/unittests/control/group_growth_test.cpp
+++ b/unittests/control/group_growth_test.cpp
@@ -223,6 +223,26 @@
     EXPECT_EQ(c.violation(), "");
 }
 
+// Guards against changes that are accepted on two disks only, and lost with them, because cut-off
+// voters were removed before a learner could replace them.
+TEST(group_growth, cut_off_voters_are_not_removed_before_a_learner_votes_in_their_place)
+{
+    control_cluster c(3, 22, growing_group_settings());
+    start_group_of_five(c);
+    const std::string leader = *c.leader();
+    for (const char* name : {"m4", "m5"}) {
+        ASSERT_NE(name, leader);
+        c.isolate(name);
+    }
+    c.run_for(millis(3500));
+    ASSERT_TRUE(c.add_member("m6", {"m1", "m2", "m3"}, false).ok());
+    ASSERT_TRUE(
+        c.run_until(max_wait, [&] { return c.core(leader).raft().log().members().size() == 6; }));
+    c.crash("m6");
+    c.run_for(millis(1000));
+    EXPECT_GE(voters_of(c).size(), 5U);
+}
+
 // Guards against a removed instance that keeps its vote, because each election starts the wait for
 // its silence anew, for longer than the 4 s during which its successor counts as lost.
 TEST(group_growth, a_successor_votes_4_s_after_its_start_despite_two_elections)
