Keep the votes of two lost disks until the new disks vote

Cause: an instance that asked to join with another disk first lost the vote of its former disk, also while another instance was waiting for its promotion. Three voters were left, and two disks made a quorum.

Why it works: the new disk joins beside the former one and is promoted before the former one is removed, as for any other silent voter. A group that does not replace instances (desired_voters of 0) removes the former vote first, but only when the new disk has caught up.

--- a/include/fescuedyke/consensus/raft_core.h
+++ b/include/fescuedyke/consensus/raft_core.h
@@ -167,12 +167,15 @@
     void become_follower(log_term term, instant now);
     void start_election(bool pre_vote, bool leadership_transfer, instant now);
     void send_join_requests(instant now);
-    bool replace_returned_member(member_list next, const member_id& id, const pending_join& join,
-                                 instant now);
+    bool is_caught_up(const member_id& id, instant now);
+    bool needs_vote_of(const member_entry& learner, instant now) const;
     bool promote_learner(instant now);
+    bool may_remove(const member_entry& m, instant now);
     bool remove_silent_member(instant now);
     bool demote_extra_voter(instant now);
     bool add_learner(const member_id& id, const pending_join& join, instant now);
+    /// Returns the member that is the same instance as \p m with a later disk, or nullptr.
+    const member_entry* find_successor(const member_entry& m) const;
     bool is_silent(const member_entry& m, instant now) const;
     void become_leader(instant now);
     void tick_leader(instant now);
--- a/lib/consensus/raft_members.cpp
+++ b/lib/consensus/raft_members.cpp
@@ -102,29 +102,55 @@
     return absl::OkStatus();
 }
 
+const member_entry* raft_core::find_successor(const member_entry& m) const
+{
+    const member_list& members = log_.members();
+    const auto found =
+        std::find_if(members.rbegin(), members.rend(),
+                     [&](const member_entry& other) { return other.id.name == m.id.name; });
+    return found == members.rend() || found->id == m.id ? nullptr : &*found;
+}
+
 bool raft_core::is_silent(const member_entry& m, instant now) const
 {
+    // An instance that joined with another disk has lost this one. The wait rules out that another
+    // process with the same name still uses it.
+    const millis silence = find_successor(m) == nullptr ? settings_.member_silence_timeout
+                                                        : settings_.election_timeout;
     const auto found = progress_.find(m.id);
-    return m.id != self_ && found != progress_.end() &&
-           now - found->second.last_heard >= settings_.member_silence_timeout;
+    return m.id != self_ && found != progress_.end() && now - found->second.last_heard >= silence;
+}
+
+bool raft_core::is_caught_up(const member_id& id, instant now)
+{
+    const progress& p = progress_[id];
+    return p.match >= log_index(1) &&
+           p.match.value() + max_learner_lag_entries >= log_.last_index().value() &&
+           now - p.last_heard < settings_.election_timeout;
+}
+
+bool raft_core::needs_vote_of(const member_entry& learner, instant now) const
+{
+    const member_list& members = log_.members();
+    if (settings_.desired_voters == 0) {
+        // The vote of the former disk of this instance goes first, so that the count stays the
+        // same.
+        return std::none_of(members.begin(), members.end(), [&](const member_entry& m) {
+            return m.voter && m.id.name == learner.id.name;
+        });
+    }
+    if (voter_count() != settings_.desired_voters) {
+        return voter_count() < settings_.desired_voters;
+    }
+    return std::any_of(members.begin(), members.end(),
+                       [&](const member_entry& m) { return m.voter && is_silent(m, now); });
 }
 
 bool raft_core::promote_learner(instant now)
 {
     member_list next = log_.members();
-    const bool replaces_silent_voter =
-        voter_count() == settings_.desired_voters &&
-        std::any_of(next.begin(), next.end(),
-                    [&](const member_entry& m) { return m.voter && is_silent(m, now); });
-    const bool needs_voter = settings_.desired_voters == 0 || replaces_silent_voter ||
-                             voter_count() < settings_.desired_voters;
     for (member_entry& m : next) {
-        const progress& p = progress_[m.id];
-        const bool caught_up =
-            p.match.value() + max_learner_lag_entries >= log_.last_index().value() &&
-            p.match >= log_index(1);
-        if (needs_voter && !m.voter && caught_up &&
-            now - p.last_heard < settings_.election_timeout) {
+        if (!m.voter && is_caught_up(m.id, now) && needs_vote_of(m, now)) {
             m.voter = true;
             pending_joins_.erase(m.id);
             (void)propose_members(next, now);
@@ -134,17 +160,27 @@
     return false;
 }
 
+bool raft_core::may_remove(const member_entry& m, instant now)
+{
+    const bool keeps_count = settings_.desired_voters > 0;
+    const member_entry* successor = find_successor(m);
+    if (!m.voter) {
+        return keeps_count || successor != nullptr;
+    }
+    // Remove a voter only after a learner was promoted in its place: with fewer voters, a change is
+    // accepted on fewer disks.
+    const bool has_extra_voter = keeps_count && voter_count() > settings_.desired_voters;
+    const bool is_replaced =
+        successor != nullptr &&
+        (successor->voter || (!keeps_count && is_caught_up(successor->id, now)));
+    return has_extra_voter || is_replaced;
+}
+
 bool raft_core::remove_silent_member(instant now)
 {
-    if (settings_.desired_voters == 0) {
-        return false;
-    }
     member_list next = log_.members();
-    // Remove a silent voter only after a learner was promoted in its place: with fewer voters, a
-    // change is accepted on fewer disks. Remove a silent learner in any case.
-    const bool has_extra_voter = voter_count() > settings_.desired_voters;
     const auto removable = std::find_if(next.begin(), next.end(), [&](const member_entry& m) {
-        return is_silent(m, now) && (!m.voter || has_extra_voter);
+        return is_silent(m, now) && may_remove(m, now);
     });
     if (removable == next.end()) {
         return false;
@@ -176,11 +212,19 @@
 bool raft_core::add_learner(const member_id& id, const pending_join& join, instant now)
 {
     constexpr std::size_t max_spare_learners = 2;
-    const bool has_room = log_.members().size() < settings_.desired_voters + max_spare_learners;
-    if (settings_.desired_voters == 0 || !has_room || find_member_by_name(id.name) != nullptr) {
+    member_list next = log_.members();
+    const bool has_room =
+        settings_.desired_voters > 0 && next.size() < settings_.desired_voters + max_spare_learners;
+    const auto is_former = [&](const member_entry& m) { return m.id.name == id.name; };
+    const auto former_count = std::count_if(next.begin(), next.end(), is_former);
+    const auto former = std::find_if(next.begin(), next.end(), is_former);
+    // An instance may join with another disk once its former disk is silent.
+    const bool replaces_former =
+        former_count == 1 && former->id != self_ &&
+        now - progress_[former->id].last_heard >= settings_.election_timeout;
+    if (former_count == 0 ? !has_room : !replaces_former) {
         return false;
     }
-    member_list next = log_.members();
     next.push_back({id, join.request.address, join.request.api_address, false});
     return propose_members(std::move(next), now).ok();
 }
@@ -198,7 +242,7 @@
         if (!still_requested || find_member(id) != nullptr) {
             continue;
         }
-        if (replace_returned_member(log_.members(), id, join, now) || add_learner(id, join, now)) {
+        if (add_learner(id, join, now)) {
             return;
         }
     }
@@ -207,26 +251,4 @@
     }
 }
 
-bool raft_core::replace_returned_member(member_list next, const member_id& id,
-                                        const pending_join& join, instant now)
-{
-    // An instance may replace only its own former identity, whose disk it has lost. The wait rules
-    // out that another process with the same name still uses that disk.
-    const auto old = std::find_if(next.begin(), next.end(),
-                                  [&](const member_entry& m) { return m.id.name == id.name; });
-    if (old == next.end() || old->id == self_ ||
-        now - progress_[old->id].last_heard < settings_.election_timeout) {
-        return false;
-    }
-    // Change one member at a time: first demote the old identity to a learner, then replace it by
-    // the new identity, also as a learner.
-    if (old->voter && voter_count() > 1) {
-        old->voter = false;
-    }
-    else {
-        *old = {id, join.request.address, join.request.api_address, false};
-    }
-    return propose_members(std::move(next), now).ok();
-}
-
 } // namespace fescuedyke
--- a/unittests/control/group_growth_test.cpp
+++ b/unittests/control/group_growth_test.cpp
@@ -243,6 +243,35 @@
     EXPECT_GE(voters_of(c).size(), 5U);
 }
 
+// Guards against changes that are accepted on two disks only, and lost with them, because two
+// instances that lost their disks lost their votes before one of them had caught up.
+TEST(group_growth, the_votes_of_two_lost_disks_are_kept_until_the_new_disks_vote)
+{
+    control_cluster c(3, 23, growing_group_settings());
+    start_group_of_five(c);
+    const std::string leader = *c.leader();
+    const std::vector<std::string> wiped_members = {"m4", "m5"};
+    for (const std::string& name : wiped_members) {
+        ASSERT_NE(name, leader);
+        c.crash(name);
+        c.disk(name).wipe();
+        // The instance asks the other members to join, but does not hear the leader.
+        c.block_link(leader, name);
+    }
+    c.run_for(millis(1000));
+    for (const std::string& name : wiped_members) {
+        ASSERT_TRUE(c.start(name).ok());
+    }
+    for (int i = 0; i < 60; ++i) {
+        c.run_for(millis(50));
+        ASSERT_GE(voters_of(c).size(), 4U) << "quorum of two disks";
+    }
+    c.unblock_links();
+    EXPECT_TRUE(c.run_until(
+        max_wait, [&] { return votes_with_its_disk(c, "m4") && votes_with_its_disk(c, "m5"); }));
+    EXPECT_EQ(voters_of(c).size(), 5U);
+}
+
 // Guards against a removed instance that keeps its vote, because each election starts the wait for
 // its silence anew, for longer than the 4 s during which its successor counts as lost.
 TEST(group_growth, a_successor_votes_4_s_after_its_start_despite_two_elections)
