Let only one instance start the bootstrap election

Operators saw: a new group has five voters only 5 s after its start, later than the 4 s (CatchUp) during which new instances count as lost; until then a change is accepted on two disks.

Cause: the bootstrap election needs the votes of all initial members, but all of them were candidates, so that they split the votes, sometimes three times in a row.

Why it works: as every vote is needed, one candidate is enough, and the election cannot succeed without it anyway.

--- a/include/fescuedyke/consensus/raft_core.h
+++ b/include/fescuedyke/consensus/raft_core.h
@@ -180,6 +180,7 @@
     void become_leader(instant now);
     void tick_leader(instant now);
     void reset_election_timer(instant now);
+    bool starts_bootstrap_election() const;
     void start_first_election_timer(instant now);
     bool may_grant_vote(const member_id& from, const vote_request& m, instant now) const;
     bool is_candidate_log_up_to_date(const vote_request& m) const;
--- a/lib/consensus/raft_core.cpp
+++ b/lib/consensus/raft_core.cpp
@@ -47,6 +47,9 @@
         const auto range_ms = static_cast<std::uint64_t>(settings_.first_election_timeout.count());
         election_due_ = now + millis(1 + static_cast<std::int64_t>(draw_below(random_, range_ms)));
     }
+    else if (starts_bootstrap_election()) {
+        election_due_ = now + settings_.election_timeout;
+    }
 }
 
 void raft_core::tick(instant now)
@@ -66,11 +69,20 @@
     if (log_.empty() || !is_voter() || settings_.desired_voters > 0) {
         send_join_requests(now);
     }
-    if (is_voter()) {
+    if (is_voter() && (!log_.empty() || starts_bootstrap_election())) {
         start_election(true, false, now);
     }
 }
 
+bool raft_core::starts_bootstrap_election() const
+{
+    // The election needs the votes of all initial members, so that further candidates would only
+    // split them.
+    const member_list& members = log_.members();
+    return std::all_of(members.begin(), members.end(),
+                       [&](const member_entry& m) { return !m.voter || self_.name <= m.id.name; });
+}
+
 void raft_core::tick_leader(instant now)
 {
     update_quorum_confirmation(now);
--- a/unittests/control/group_growth_test.cpp
+++ b/unittests/control/group_growth_test.cpp
@@ -112,6 +112,19 @@
     EXPECT_EQ(c.violation(), "");
 }
 
+// Guards against changes that are accepted on two disks, because the founding of the group takes
+// longer than the time during which new instances count as lost.
+TEST(group_growth, a_new_group_has_five_voters_within_4_s)
+{
+    for (std::uint64_t seed = 65843; seed < 65843 + 100; ++seed) {
+        control_cluster c(3, seed, growing_group_settings());
+        ASSERT_TRUE(c.add_member("m4", seeds, true).ok());
+        ASSERT_TRUE(c.add_member("m5", seeds, true).ok());
+        ASSERT_TRUE(c.run_until(catch_up_time, [&] { return voters_of(c).size() == 5; }))
+            << "seed " << seed;
+    }
+}
+
 TEST(group_growth, a_new_member_catches_up_from_a_leader_that_is_not_one_of_its_seeds)
 {
     control_cluster c(3, 12, growing_group_settings());
