--- a/bench/cluster/cluster.cpp
+++ b/bench/cluster/cluster.cpp
@@ -133,7 +133,7 @@
 void control_cluster::step()
 {
     now_ = now_ + step_time;
-    while (!in_flight_.empty() && in_flight_.begin()->first <= now_) {
+    while (!stops() && !in_flight_.empty() && in_flight_.begin()->first <= now_) {
         const queued_message message = in_flight_.begin()->second;
         in_flight_.erase(in_flight_.begin());
         if (blocked_links_.count({message.from, message.to}) == 0) {
@@ -141,6 +141,9 @@
         }
     }
     for (const std::string& name : names()) {
+        if (stops()) {
+            return;
+        }
         handle(name, control_tick{});
     }
 }
--- a/bench/cluster/cluster.h
+++ b/bench/cluster/cluster.h
@@ -71,6 +71,9 @@
     void read_document(const std::string& at, std::uint64_t request);
     const std::map<std::uint64_t, answer_document>& documents() const { return documents_; }
 
+    /// Ends a step at once when the change \p request is answered, so that a fault can follow
+    /// before any other event; std::nullopt lets the steps go on.
+    void stop_at_answer(std::optional<std::uint64_t> request) { stop_at_answer_ = request; }
     /// Ends the member's process; its disk is kept.
     void crash(const std::string& name);
     /// Starts the member from its disk. Fails if the disk cannot be read.
@@ -121,6 +124,7 @@
     void check_invariants(const std::string& name);
     std::string member_at(const endpoint& address) const;
     void step();
+    bool stops() const { return stop_at_answer_ && answers_.count(*stop_at_answer_) != 0; }
 
     control_settings settings_;
     random_source random_;
@@ -132,6 +136,7 @@
     std::set<std::pair<std::string, std::string>> blocked_links_;
     link_faults faults_;
     std::map<std::uint64_t, answer_change> answers_;
+    std::optional<std::uint64_t> stop_at_answer_;
     std::map<std::uint64_t, answer_document> documents_;
     std::map<std::uint64_t, std::function<void(const poll_reply&)>> polls_;
     std::map<std::uint64_t, std::string> leader_by_term_;
