--- a/include/fescuedyke/consensus/raft_core.h
+++ b/include/fescuedyke/consensus/raft_core.h
@@ -34,12 +34,13 @@
     /// Time without contact after which the leader regards a member as silent. A silent member can
     /// be replaced when its instance returns with another disk. Join requests expire after the same
     /// time.
-    millis member_silence_timeout{3000};
+    millis member_silence_timeout{1500};
     /// Whether a member with an empty log may vote in the bootstrap election.
     bool may_bootstrap = true;
     /// Number of voters to maintain. While there are fewer, learners that have caught up become
-    /// voters; further instances that ask to join become spare learners, which replace silent
-    /// voters. With 0, only the initial members take part.
+    /// voters; further instances that ask to join become spare learners. If a voter is silent, a
+    /// spare learner is promoted first, and then the silent voter is removed. With 0, only the
+    /// initial members take part.
     std::size_t desired_voters = 0;
 };
 
@@ -166,15 +167,20 @@
     void become_follower(log_term term, instant now);
     void start_election(bool pre_vote, bool leadership_transfer, instant now);
     void send_join_requests(instant now);
-    bool replace_returned_member(member_list next, const member_id& id, const pending_join& join,
-                                 instant now);
+    bool is_caught_up(const member_id& id, instant now);
+    bool needs_vote_of(const member_entry& learner, instant now) const;
     bool promote_learner(instant now);
+    bool may_remove(const member_entry& m, instant now);
     bool remove_silent_member(instant now);
+    bool demote_extra_voter(instant now);
     bool add_learner(const member_id& id, const pending_join& join, instant now);
+    /// Returns the member that is the same instance as \p m with a later disk, or nullptr.
+    const member_entry* find_successor(const member_entry& m) const;
     bool is_silent(const member_entry& m, instant now) const;
     void become_leader(instant now);
     void tick_leader(instant now);
     void reset_election_timer(instant now);
+    bool starts_bootstrap_election() const;
     void start_first_election_timer(instant now);
     bool may_grant_vote(const member_id& from, const vote_request& m, instant now) const;
     bool is_candidate_log_up_to_date(const vote_request& m) const;
--- a/unittests/control/group_growth_test.cpp
+++ b/unittests/control/group_growth_test.cpp
@@ -112,6 +112,19 @@
     EXPECT_EQ(c.violation(), "");
 }
 
+// Guards against changes that are accepted on two disks, because the founding of the group takes
+// longer than the time during which new instances count as lost.
+TEST(group_growth, a_new_group_has_five_voters_within_4_s)
+{
+    for (std::uint64_t seed = 65843; seed < 65843 + 100; ++seed) {
+        control_cluster c(3, seed, growing_group_settings());
+        ASSERT_TRUE(c.add_member("m4", seeds, true).ok());
+        ASSERT_TRUE(c.add_member("m5", seeds, true).ok());
+        ASSERT_TRUE(c.run_until(catch_up_time, [&] { return voters_of(c).size() == 5; }))
+            << "seed " << seed;
+    }
+}
+
 TEST(group_growth, a_new_member_catches_up_from_a_leader_that_is_not_one_of_its_seeds)
 {
     control_cluster c(3, 12, growing_group_settings());
@@ -208,6 +221,70 @@
     EXPECT_EQ(c.violation(), "");
 }
 
+// Guards against a vote that no disk holds any more and that is kept until a leader has waited for
+// 3 s, though its instance has asked to join with another disk.
+TEST(group_growth, an_instance_that_lost_its_disk_votes_2_s_after_its_return)
+{
+    control_cluster c(3, 21, growing_group_settings());
+    start_group_of_five(c);
+    const std::string wiped_member = *c.leader() == "m2" ? "m3" : "m2";
+    c.crash(wiped_member);
+    c.disk(wiped_member).wipe();
+    c.run_for(millis(900));
+    ASSERT_TRUE(c.start(wiped_member).ok());
+    EXPECT_TRUE(c.run_until(millis(2000), [&] { return votes_with_its_disk(c, wiped_member); }));
+    EXPECT_EQ(c.violation(), "");
+}
+
+// Guards against changes that are accepted on two disks only, and lost with them, because cut-off
+// voters were removed before a learner could replace them.
+TEST(group_growth, cut_off_voters_are_not_removed_before_a_learner_votes_in_their_place)
+{
+    control_cluster c(3, 22, growing_group_settings());
+    start_group_of_five(c);
+    const std::string leader = *c.leader();
+    for (const char* name : {"m4", "m5"}) {
+        ASSERT_NE(name, leader);
+        c.isolate(name);
+    }
+    c.run_for(millis(3500));
+    ASSERT_TRUE(c.add_member("m6", {"m1", "m2", "m3"}, false).ok());
+    ASSERT_TRUE(
+        c.run_until(max_wait, [&] { return c.core(leader).raft().log().members().size() == 6; }));
+    c.crash("m6");
+    c.run_for(millis(1000));
+    EXPECT_GE(voters_of(c).size(), 5U);
+}
+
+// Guards against changes that are accepted on two disks only, and lost with them, because two
+// instances that lost their disks lost their votes before one of them had caught up.
+TEST(group_growth, the_votes_of_two_lost_disks_are_kept_until_the_new_disks_vote)
+{
+    control_cluster c(3, 23, growing_group_settings());
+    start_group_of_five(c);
+    const std::string leader = *c.leader();
+    const std::vector<std::string> wiped_members = {"m4", "m5"};
+    for (const std::string& name : wiped_members) {
+        ASSERT_NE(name, leader);
+        c.crash(name);
+        c.disk(name).wipe();
+        // The instance asks the other members to join, but does not hear the leader.
+        c.block_link(leader, name);
+    }
+    c.run_for(millis(1000));
+    for (const std::string& name : wiped_members) {
+        ASSERT_TRUE(c.start(name).ok());
+    }
+    for (int i = 0; i < 60; ++i) {
+        c.run_for(millis(50));
+        ASSERT_GE(voters_of(c).size(), 4U) << "quorum of two disks";
+    }
+    c.unblock_links();
+    EXPECT_TRUE(c.run_until(
+        max_wait, [&] { return votes_with_its_disk(c, "m4") && votes_with_its_disk(c, "m5"); }));
+    EXPECT_EQ(voters_of(c).size(), 5U);
+}
+
 // Guards against a removed instance that keeps its vote, because each election starts the wait for
 // its silence anew, for longer than the 4 s during which its successor counts as lost.
 TEST(group_growth, a_successor_votes_4_s_after_its_start_despite_two_elections)
@@ -225,6 +302,33 @@
     EXPECT_EQ(c.violation(), "");
 }
 
+// Guards against two votes of ended instances when only one of them still counts as lost, because
+// the leader ends shortly before it would have removed the vote of the other.
+TEST(group_growth, of_a_removed_instance_and_an_ended_leader_one_has_no_vote_after_4_s)
+{
+    for (std::int64_t leader_ends = 0; leader_ends < 2500; leader_ends += 10) {
+        control_cluster c(3, 24 + static_cast<std::uint64_t>(leader_ends),
+                          growing_group_settings());
+        start_group_of_five(c);
+        ASSERT_EQ(voters_of(c).count("m4"), 1U);
+        c.crash("m4");
+        c.run_for(millis(500));
+        ASSERT_TRUE(c.add_member("m6", {"m1", "m2", "m3"}, false).ok());
+        const instant counts_again = c.now() + catch_up_time;
+        c.run_for(millis(leader_ends));
+        c.crash(*c.leader());
+        EXPECT_TRUE(c.run_until(counts_again - c.now(),
+                                [&] {
+                                    const std::set<std::string> voters = voters_of(c);
+                                    return std::count_if(voters.begin(), voters.end(),
+                                                         [&](const std::string& v) {
+                                                             return c.is_up(v);
+                                                         }) == 4;
+                                }))
+            << "the leader ended after " << leader_ends << " ms";
+    }
+}
+
 TEST(group_growth, a_group_whose_members_all_crashed_elects_a_leader_within_one_election_timeout)
 {
     int late_elections = 0;
