Bound the time of a stop whose control thread waits for the disk

Cause: a stop ends only after the control thread has written the last accounts, handed over and reported back, and run() then joins that thread. While a write or a sync of the disk blocks the thread, no timer fires that would end the wait.

Why this works: a thread of its own, which waits for nothing but the limit, ends the process. The files of a member survive an end at any moment. A wait in the kernel that no signal ends, as on a disk that hangs, still delays it.

--- a/lib/daemon/daemon.cpp
+++ b/lib/daemon/daemon.cpp
@@ -3,6 +3,7 @@
 #include "fescuedyke/daemon/http_api.h"
 #include "fescuedyke/daemon/operator_json.h"
 #include "fescuedyke/daemon/outcome_http.h"
+#include "fescuedyke/daemon/process_signals.h"
 #include "fescuedyke/logging/json_log.h"
 
 #include <nlohmann/json.hpp>
@@ -31,6 +32,10 @@
 /// How long pending responses may still be sent after the listening sockets are closed.
 constexpr millis final_response_period{50};
 
+/// Time after the drain limit at which a stop that has not ended is ended by force. It exceeds the
+/// time that the control group has to acknowledge the last account report.
+constexpr millis forced_exit_delay{5000};
+
 node_settings make_node_settings(const process_settings& settings, incarnation start)
 {
     node_settings node;
@@ -135,6 +140,7 @@
     int signal = 0;
     sigwait(&signals, &signal);
     write_log(log_level::info, "stopping", {{"signal", signal}});
+    limit_stop_time(settings_.drain_timeout + forced_exit_delay);
     stop();
     traffic.join();
     control.join();
--- a/lib/daemon/process_signals.cpp
+++ b/lib/daemon/process_signals.cpp
@@ -1,8 +1,14 @@
 #include "fescuedyke/daemon/process_signals.h"
 
+#include "fescuedyke/logging/json_log.h"
+
+#include <nlohmann/json.hpp>
+
 #include <atomic>
+#include <chrono>
 #include <csignal>
 #include <initializer_list>
+#include <thread>
 
 namespace fescuedyke {
 
@@ -39,4 +45,14 @@
     return reload_signalled.exchange(false);
 }
 
+void limit_stop_time(millis limit)
+{
+    // A timer of an event loop would not fire while the loop is blocked.
+    std::thread([limit] {
+        std::this_thread::sleep_for(std::chrono::milliseconds(limit.count()));
+        write_log(log_level::error, "stop-limit-reached", {{"limit_ms", limit.count()}});
+        flush_log_and_exit(stop_limit_exit_code);
+    }).detach();
+}
+
 } // namespace fescuedyke
