Count the failures of one standstill of a member once

What callers saw: deposits refused as not-owner. After a standstill of about a second a node counted a poll of the leader that came too late and its replies with an old confirmation, 50 ms apart, as several failures in a row, left the leader for 8 s, and its lease of 3 s ran out.

Cause: a member is also polled during its back-off, if too few others are available. Each such poll that failed for the same reason doubled the back-off. A node that had just started also forgot the leader that a stale reply named.

Evidence, before: config_subscriber.failures_of_one_moment_count_once fails, "Expected: (std::find(selected.begin(), selected.end(), \"m1\")) != (selected.end())".

Why this works: only the failure of a poll that was sent outside a back-off starts the next, longer one. Without any known leader, the one that a stale reply names is preferred until a fresh reply names another.

--- a/include/fescuedyke/subscription/config_subscriber.h
+++ b/include/fescuedyke/subscription/config_subscriber.h
@@ -24,7 +24,8 @@
     /// because it may be partitioned from the quorum without noticing.
     millis max_quorum_confirmation_age{1500};
     /// How long a member is not polled after a failed poll or a stale reply while others are
-    /// available. The time doubles with every consecutive failure.
+    /// available. The time doubles with every consecutive failure. Polls sent during a back-off do
+    /// not count as further failures.
     millis initial_backoff{2000};
     /// Upper limit of the back-off time after consecutive failures.
     millis max_backoff{16'000};
@@ -65,7 +66,7 @@
     /// Smoothed round-trip time of the polls.
     millis round_trip;
     bool replied = false;
-    /// Number of consecutive polls that failed or returned a stale reply.
+    /// Number of back-offs since the last reply that was not stale.
     int consecutive_failures = 0;
 };
 
@@ -109,7 +110,9 @@
     void apply_view(const poll_reply& reply, instant now, subscriber_output& output);
     bool is_available(const member_status& m, instant now) const;
     void remove_unlisted_members(const poll_reply& reply);
-    void mark_failed(const std::string& member, instant now);
+    /// Handles the failure of a poll or a stale reply to it.
+    void mark_failed(const open_poll& failed, instant now);
+    void extend_backoff(member_status& m, instant now) const;
 
     subscriber_settings settings_;
     std::map<std::string, member_status> members_;
--- a/lib/subscription/config_subscriber.cpp
+++ b/lib/subscription/config_subscriber.cpp
@@ -53,18 +53,27 @@
     return names;
 }
 
-void config_subscriber::mark_failed(const std::string& member, instant now)
+void config_subscriber::extend_backoff(member_status& m, instant now) const
 {
+    constexpr int max_doublings = 3;
+    const int doublings = std::min(m.consecutive_failures, max_doublings);
+    ++m.consecutive_failures;
+    m.backoff_until = now + std::min(settings_.initial_backoff * (std::int64_t{1} << doublings),
+                                     settings_.max_backoff);
+}
+
+void config_subscriber::mark_failed(const open_poll& failed, instant now)
+{
+    const std::string& member = failed.member;
     const auto found = members_.find(member);
     if (found == members_.end()) {
         return;
     }
-    constexpr int max_doublings = 3;
-    const int doublings = std::min(found->second.consecutive_failures, max_doublings);
-    ++found->second.consecutive_failures;
-    found->second.backoff_until =
-        now +
-        std::min(settings_.initial_backoff * (std::int64_t{1} << doublings), settings_.max_backoff);
+    // Polls sent during a back-off, which happens if too few other members are available, fail for
+    // the same reason as the poll that started it.
+    if (is_available(found->second, failed.sent_at)) {
+        extend_backoff(found->second, now);
+    }
     // Discard the member's view if another member can provide one; otherwise keep it, because it is
     // the only view available.
     const bool has_alternative = std::any_of(members_.begin(), members_.end(), [&](const auto& m) {
@@ -125,9 +134,9 @@
     if (found == open_polls_.end()) {
         return;
     }
-    const std::string member = found->second.member;
+    const open_poll failed = found->second;
     open_polls_.erase(found);
-    mark_failed(member, now);
+    mark_failed(failed, now);
 }
 
 void config_subscriber::update_members(const poll_reply& reply)
@@ -180,7 +189,9 @@
         m.replied ? millis((m.round_trip.count() * 3 + round_trip.count()) / 4) : round_trip;
     m.replied = true;
     if (reply.quorum_confirmation_age > settings_.max_quorum_confirmation_age) {
-        mark_failed(answered_poll.member, now);
+        mark_failed(answered_poll, now);
+        // Even an old hint is better than none: a fresh reply of any member corrects it.
+        leader_ = leader_.empty() ? reply.leader : leader_;
         // Older versions are ignored, so it is safe to apply what a stale member sent, but the
         // reply does not make the node's configuration fresh.
         apply_policies(reply, output);
