Ask a leader that stalled once again before its leases run out

What callers saw: requests refused as not-owner after the leading member had stalled for 1.5 s, although its leases last 3 s.

Cause: the next poll is sent 0.25 s after the last one that was answered, fails after 1 s, and then the leader was left for 2 s. The lease, which starts with the answered poll, runs out 0.25 s before the next poll is sent.

Evidence, before: config_subscriber.a_leader_that_stalled_once_is_asked_again_before_the_lease_runs_out fails, "Expected: ((lease_until - now).count()) >= (0), actual: -25 vs 0", 3775 ms after the start. After: 11 tests passed.

Why this works: the first back-off of a preferred leader, which alone renews leases, is 1 s. The second member of each round still keeps the configuration fresh, and repeated failures still double the back-off. Processes that do not prefer the leader, as on the users' platform, keep the back-off of 2 s.

--- a/include/fescuedyke/subscription/config_subscriber.h
+++ b/include/fescuedyke/subscription/config_subscriber.h
@@ -27,6 +27,9 @@
     /// available. The time doubles with every consecutive failure. Polls sent during a back-off do
     /// not count as further failures.
     millis initial_backoff{2000};
+    /// The same for the leader, if it is preferred. A lease of 3 s still lasts when the leader is
+    /// polled again one poll period, one poll timeout and this time after its last reply.
+    millis initial_leader_backoff{1000};
     /// Upper limit of the back-off time after consecutive failures.
     millis max_backoff{16'000};
     /// Number of members that are polled in each round.
@@ -112,7 +115,7 @@
     void remove_unlisted_members(const poll_reply& reply);
     /// Handles the failure of a poll or a stale reply to it.
     void mark_failed(const open_poll& failed, instant now);
-    void extend_backoff(member_status& m, instant now) const;
+    void extend_backoff(member_status& m, millis initial_backoff, instant now) const;
 
     subscriber_settings settings_;
     std::map<std::string, member_status> members_;
--- a/lib/subscription/config_subscriber.cpp
+++ b/lib/subscription/config_subscriber.cpp
@@ -53,13 +53,13 @@
     return names;
 }
 
-void config_subscriber::extend_backoff(member_status& m, instant now) const
+void config_subscriber::extend_backoff(member_status& m, millis initial_backoff, instant now) const
 {
     constexpr int max_doublings = 3;
     const int doublings = std::min(m.consecutive_failures, max_doublings);
     ++m.consecutive_failures;
-    m.backoff_until = now + std::min(settings_.initial_backoff * (std::int64_t{1} << doublings),
-                                     settings_.max_backoff);
+    m.backoff_until =
+        now + std::min(initial_backoff * (std::int64_t{1} << doublings), settings_.max_backoff);
 }
 
 void config_subscriber::mark_failed(const open_poll& failed, instant now)
@@ -72,7 +72,10 @@
     // Polls sent during a back-off, which happens if too few other members are available, fail for
     // the same reason as the poll that started it.
     if (is_available(found->second, failed.sent_at)) {
-        extend_backoff(found->second, now);
+        const bool renews_leases = settings_.prefers_leader && member == leader_;
+        extend_backoff(found->second,
+                       renews_leases ? settings_.initial_leader_backoff : settings_.initial_backoff,
+                       now);
     }
     // Discard the member's view if another member can provide one; otherwise keep it, because it is
     // the only view available.
--- a/unittests/subscription/config_subscriber_test.cpp
+++ b/unittests/subscription/config_subscriber_test.cpp
@@ -112,6 +112,29 @@
     EXPECT_NE(std::find(selected.begin(), selected.end(), "m1"), selected.end());
 }
 
+// Guards against deposits refused as not-owner: a leader that had stalled for less than a lease was
+// asked again only after the lease had run out.
+TEST(config_subscriber, a_leader_that_stalled_once_is_asked_again_before_the_lease_runs_out)
+{
+    constexpr millis lease{3000};
+    constexpr millis tick_period{25};
+    constexpr instant stall_start = start_time + millis(1000);
+    constexpr instant stall_end = stall_start + millis(1500);
+    config_subscriber s = make_subscriber();
+    instant lease_until = start_time + lease;
+    for (instant now = start_time; now < start_time + millis(10'000); now = now + tick_period) {
+        ASSERT_GE((lease_until - now).count(), 0) << (now - start_time).count() << " ms";
+        for (const outgoing_poll& p : s.tick(now).polls) {
+            const bool from_leader = p.address.host == "m1";
+            if (from_leader && now >= stall_start && now < stall_end) {
+                continue;
+            }
+            s.on_reply(p.number, make_reply(p.address.host, 1, millis(0)), now);
+            lease_until = from_leader ? now + lease : lease_until;
+        }
+    }
+}
+
 TEST(config_subscriber, a_lease_starts_at_the_send_time_of_the_poll)
 {
     config_subscriber s = make_subscriber();
