Read a bounded number of bytes from a target at once

What callers saw: a target that sends without pause keeps the event loop of its node in one connection, so that the other calls, the polls and SIGTERM wait. Cause: target_connection read in an endless loop until its socket was empty. After a send failure it still reads all that has arrived, because it is not reported again. Before, endless_target.other_work_runs_between_the_parts_of_a_response: Value of: done_before_other_work Actual: true Expected: false After: passes, also five times in a row; transport_tests pass (42 tests).

--- a/lib/transport/target_connection.cpp
+++ b/lib/transport/target_connection.cpp
@@ -28,6 +28,9 @@
 /// that was complete at the deadline may still be on its way.
 constexpr millis streamed_body_allowance{100};
 
+/// Maximum number of reads from one connection before other work of the event loop is done.
+constexpr int max_reads_per_event = 2;
+
 /// Maximum number of bytes read for one request while its response is buffered: the response and
 /// those to other requests before it.
 constexpr std::uint64_t max_buffered_response_bytes = 16U << 20U;
@@ -150,8 +153,7 @@
 void target_client::connection::on_send_failure()
 {
     // The socket may still contain bytes that the target sent before the connection broke.
-    if (!response_delivered_) {
-        on_readable();
+    while (!response_delivered_ && read_once()) {
     }
     if (fd_ >= 0) {
         fail(any_sent_ ? target_failure::connection_lost : target_failure::never_sent);
@@ -171,31 +173,34 @@
 
 void target_client::connection::on_readable()
 {
-    for (;;) {
-        const std::size_t before = input_.size();
-        const socket_read_result result = read_some(fd_, input_);
-        received_bytes_ += input_.size() - before;
-        if (result == socket_read_result::would_block) {
-            return;
-        }
-        const bool expected = done_ != nullptr || response_body_;
-        if (!expected) {
-            // The bytes belong to no request, or the target has closed an idle connection.
-            close();
-            return;
-        }
-        if (result == socket_read_result::error) {
-            fail(read_failure());
-            return;
-        }
-        if (result == socket_read_result::eof) {
-            on_eof();
-            return;
-        }
-        if (!(response_body_ ? read_streamed_body() : read_response())) {
-            return;
-        }
+    // The loop reports the rest again after the events of other sockets.
+    for (int i = 0; i < max_reads_per_event && read_once(); ++i) {
+    }
+}
+
+bool target_client::connection::read_once()
+{
+    const std::size_t before = input_.size();
+    const socket_read_result result = read_some(fd_, input_);
+    received_bytes_ += input_.size() - before;
+    if (result == socket_read_result::would_block) {
+        return false;
+    }
+    const bool expected = done_ != nullptr || response_body_;
+    if (!expected) {
+        // The bytes belong to no request, or the target has closed an idle connection.
+        close();
+        return false;
+    }
+    if (result == socket_read_result::error) {
+        fail(read_failure());
+        return false;
+    }
+    if (result == socket_read_result::eof) {
+        on_eof();
+        return false;
     }
+    return response_body_ ? read_streamed_body() : read_response();
 }
 
 bool target_client::connection::read_streamed_body()
--- a/lib/transport/target_connection.h
+++ b/lib/transport/target_connection.h
@@ -55,6 +55,8 @@
     void on_send_failure();
     void update_watched_events();
     void on_readable();
+    /// Reads once from the socket. Returns whether more may be read at once.
+    bool read_once();
     /// Parses the next part of a streamed body. Returns whether to read on at once.
     bool read_streamed_body();
     void end_streaming();
--- a/unittests/transport/endless_response_test.cpp
+++ b/unittests/transport/endless_response_test.cpp
@@ -206,6 +206,39 @@
     expect_truncated(head + "Transfer-Encoding: chunked\r\n\r\n", repeat("4\r\nbody\r\n"));
 }
 
+// Guards against a target whose bytes keep the event loop in one connection, so that all other work
+// waits.
+TEST_F(endless_target, other_work_runs_between_the_parts_of_a_response)
+{
+    constexpr std::size_t body_bytes = 400U << 10U;
+    std::atomic<bool> sent{false};
+    run_target({[&](raw_socket& c) {
+        c.read_until("\r\n\r\n");
+        loop_.post([this] { loop_.stop(); });
+        c.send("HTTP/1.1 200 OK\r\nId: 1\r\nContent-Length: " + std::to_string(body_bytes) +
+               "\r\n\r\n" + std::string(body_bytes, 'x'));
+        sent = true;
+        c.wait_for_close();
+    }});
+    bool done = false;
+    client_.send(1, make_request(), [&](const target_result&) {
+        done = true;
+        loop_.post([this] { loop_.stop(); });
+    });
+    loop_.run();
+    loop_.clear_stop();
+    // The socket buffers usually take the whole response; the test does not depend on it.
+    for (int i = 0; i < 200 && !sent; ++i) {
+        std::this_thread::sleep_for(std::chrono::milliseconds(1));
+    }
+    bool done_before_other_work = false;
+    loop_.post([&] { done_before_other_work = done; });
+    loop_.run();
+    EXPECT_TRUE(done);
+    EXPECT_FALSE(done_before_other_work);
+    client_.close_idle();
+}
+
 // Guards against an answer of bytes that arrived before their request was sent.
 TEST_F(endless_target, a_connection_with_unread_bytes_is_not_reused)
 {
