Reserve at most a stream window for a message of a peer

What callers saw: a reply of another process with "content-length:" ends the process that reads it. Cause: h2_connection reserved the declared length; std::bad_alloc leaves the event loop. Before, endless_reply.a_declared_length_reserves_no_memory: C++ exception with description "std::bad_alloc" thrown in the test body. After: passes; the tests endless_* and body_str* of transport_tests pass (19 tests).

--- a/lib/transport/h2_connection.cpp
+++ b/lib/transport/h2_connection.cpp
@@ -281,7 +281,7 @@
         return;
     }
     if (!is_offset_header) {
-        s.received.reserve(bytes);
+        s.received.reserve(std::min<std::size_t>(bytes, stream_window_bytes));
     }
 }
 
