Limit the size of a message of a peer

What callers saw: a reply of another process (to a call, a poll or a report) that declares no length and never ends fills the memory of the process that reads it. Cause: only requests with a declared length were checked. Now a message, or the part of it before a streamed body, has at most max_message_bytes (64 MiB, the limit of control requests); beyond it the stream is reset, and a request ends as lost. Before, endless_reply.a_reply_over_the_limit_fails: Value of: failed_as_lost() Actual: false Expected: true After: passes; the tests endless_* and body_str* of transport_tests pass (20 tests).

--- a/lib/transport/h2_body_stream.cpp
+++ b/lib/transport/h2_body_stream.cpp
@@ -8,6 +8,13 @@
 
 namespace fescuedyke {
 
+namespace {
+
+/// Largest accepted message, or largest accepted part of it before a streamed body, in bytes.
+constexpr std::size_t max_message_bytes = 64U << 20U;
+
+} // namespace
+
 void h2_connection::begin_sending(std::int32_t stream, h2_outgoing_message message)
 {
     stream_state& s = streams_[stream];
@@ -63,14 +70,24 @@
 void h2_connection::handle_data(std::int32_t stream, std::string_view data)
 {
     const auto found = streams_.find(stream);
-    if (found != streams_.end() && found->second.prefix_bytes && !found->second.refused) {
-        handle_streamed_data(stream, found->second, data);
+    if (found == streams_.end() || found->second.refused) {
+        nghttp2_session_consume(session_, stream, data.size());
         return;
     }
-    nghttp2_session_consume(session_, stream, data.size());
-    if (found != streams_.end() && !found->second.refused) {
-        found->second.received.append(data);
+    stream_state& s = found->second;
+    if (!s.incoming_body && s.received.size() + data.size() > max_message_bytes) {
+        s.refused = true;
+        s.received = std::string();
+        nghttp2_session_consume(session_, stream, data.size());
+        reset(stream, NGHTTP2_CANCEL);
+        return;
+    }
+    if (s.prefix_bytes) {
+        handle_streamed_data(stream, s, data);
+        return;
     }
+    nghttp2_session_consume(session_, stream, data.size());
+    s.received.append(data);
 }
 
 void h2_connection::handle_streamed_data(std::int32_t stream, stream_state& state,
--- a/unittests/transport/endless_reply_test.cpp
+++ b/unittests/transport/endless_reply_test.cpp
@@ -101,6 +101,15 @@
     std::thread thread_;
 };
 
+// Guards against memory that grows without bound while a peer sends a reply without end.
+TEST_F(endless_reply, a_reply_over_the_limit_fails)
+{
+    start_peer(65U << 20U);
+    send();
+    loop_.run();
+    EXPECT_TRUE(failed_as_lost());
+}
+
 // Guards against a process that ends because it reserves the length that a peer declares.
 TEST_F(endless_reply, a_declared_length_reserves_no_memory)
 {
