Read a bounded number of bytes from a peer at once

What callers saw: a process that sends without pause keeps the event loop of its peer in one connection, so that calls, polls and SIGTERM wait there. Cause: h2_connection read until it got less than a whole buffer; a fast sender fills it each time. Now it reads at most twice (128 KiB) for one event; epoll is level-triggered and reports the rest again. Before, endless_reply.other_work_runs_between_the_parts_of_a_reply (three of three runs): Value of: done_before_other_work Actual: true Expected: false After: passes; transport_tests pass (45 tests).

--- a/lib/transport/h2_connection.cpp
+++ b/lib/transport/h2_connection.cpp
@@ -25,6 +25,9 @@
 constexpr std::int32_t connection_window_bytes = 16 << 20;
 constexpr std::size_t read_buffer_bytes = 64U << 10U;
 
+/// Maximum number of reads before other work of the event loop is done.
+constexpr int max_reads_per_event = 2;
+
 /// No more bytes are taken from the nghttp2 session while this many bytes or more are unsent.
 constexpr std::size_t max_output_bytes = 256U << 10U;
 
@@ -377,7 +380,8 @@
 bool h2_connection::read_socket()
 {
     std::vector<std::uint8_t> buffer(read_buffer_bytes);
-    for (;;) {
+    // The loop reports the rest again after the events of other sockets.
+    for (int i = 0; i < max_reads_per_event; ++i) {
         const ssize_t got = ::recv(fd_, buffer.data(), buffer.size(), 0);
         if (got < 0) {
             return errno == EAGAIN || errno == EINTR;
@@ -391,9 +395,10 @@
             return false;
         }
         if (count < buffer.size()) {
-            return true;
+            break;
         }
     }
+    return true;
 }
 
 bool h2_connection::write_socket()
--- a/unittests/transport/endless_reply_test.cpp
+++ b/unittests/transport/endless_reply_test.cpp
@@ -122,5 +122,48 @@
     EXPECT_TRUE(failed_as_lost());
 }
 
+// Guards against a peer whose bytes keep the event loop in one connection, so that all other work
+// waits.
+TEST_F(endless_reply, other_work_runs_between_the_parts_of_a_reply)
+{
+    std::atomic<bool> paused{false};
+    std::atomic<bool> sent{false};
+    run_raw_peer([&](raw_socket& c) {
+        c.read_until("request");
+        // Frames of an unknown type are ignored and not subject to flow control.
+        const std::string ignored =
+            frame_head(16U << 10U, 0x20, 0, 0) + std::string(16U << 10U, 'x');
+        c.send(settings_frame);
+        // The first bytes enlarge the socket buffers, so that the others are all there at once.
+        for (int i = 0; i < 1024; ++i) {
+            c.send(ignored);
+        }
+        loop_.post([this] { loop_.stop(); });
+        while (!paused) {
+            std::this_thread::sleep_for(std::chrono::milliseconds(1));
+        }
+        for (int i = 0; i < 64; ++i) {
+            c.send(ignored);
+        }
+        c.send(headers_frame(0x05, "0"));
+        sent = true;
+        c.wait_for_close();
+    });
+    send();
+    loop_.run();
+    loop_.clear_stop();
+    paused = true;
+    // The socket buffers usually take all bytes; the test does not depend on it.
+    for (int i = 0; i < 200 && !sent; ++i) {
+        std::this_thread::sleep_for(std::chrono::milliseconds(1));
+    }
+    bool done_before_other_work = false;
+    loop_.post([&] { done_before_other_work = result_.has_value(); });
+    loop_.run();
+    EXPECT_TRUE(std::holds_alternative<h2_message>(*result_));
+    EXPECT_FALSE(done_before_other_work);
+    client_.reset();
+}
+
 } // namespace
 } // namespace fescuedyke
