Limit the size of an answer read by fescuedykectl

What operators saw: an answer of a member without end fills the memory of fescuedykectl for up to the 7 s of a request, and is then read whole if it ends in that time. Cause: the write callback of libcurl had no limit. Now it ends the transfer after max_response_bytes (64 MiB) and the member counts as unreachable.

--- a/lib/operator/member_client.cpp
+++ b/lib/operator/member_client.cpp
@@ -21,9 +21,17 @@
 constexpr int misdirected_status = 421;
 constexpr int unavailable_status = 503;
 
+/// Largest accepted body of a response, in bytes.
+constexpr std::size_t max_response_bytes = 64U << 20U;
+
+/// Appends to the string \p out. Makes libcurl end the transfer if the body is too large.
 std::size_t append_body(char* data, std::size_t size, std::size_t count, void* out)
 {
-    static_cast<std::string*>(out)->append(data, size * count);
+    auto* body = static_cast<std::string*>(out);
+    if (body->size() + size * count > max_response_bytes) {
+        return 0;
+    }
+    body->append(data, size * count);
     return size * count;
 }
 
