--- a/lib/transport/h2_body_stream.cpp
+++ b/lib/transport/h2_body_stream.cpp
@@ -1,5 +1,5 @@
-// Streamed bodies of an HTTP/2 connection: the flow-control window of each stream is reopened as
-// its reader consumes the body.
+// Bodies of an HTTP/2 connection. The flow-control window of a stream with a streamed body is
+// reopened as its reader consumes the body.
 
 #include "fescuedyke/transport/h2_connection.h"
 
@@ -48,6 +48,35 @@
     }
 }
 
+ssize_t h2_connection::read_body(nghttp2_session* session, std::int32_t stream,
+                                 std::uint8_t* buffer, std::size_t length, std::uint32_t* flags,
+                                 nghttp2_data_source* source, void* self)
+{
+    (void)session;
+    (void)source;
+    auto& streams = static_cast<h2_connection*>(self)->streams_;
+    const auto found = streams.find(stream);
+    if (found == streams.end()) {
+        return NGHTTP2_ERR_TEMPORAL_CALLBACK_FAILURE;
+    }
+    stream_state& s = found->second;
+    const std::size_t total = s.sending.size();
+    if (s.sent == total && s.sending.body_stream) {
+        return read_streamed_body(s, buffer, length, flags);
+    }
+    const std::size_t head = s.sending.head.size();
+    const bool in_head = s.sent < head;
+    const std::string& part = in_head || !s.sending.body ? s.sending.head : *s.sending.body;
+    const std::size_t from = in_head ? s.sent : s.sent - head;
+    const std::size_t count = std::min(length, s.sent < total ? part.size() - from : 0);
+    std::copy_n(part.data() + from, count, buffer);
+    s.sent += count;
+    if (s.sent == total && !s.sending.body_stream) {
+        *flags |= NGHTTP2_DATA_FLAG_EOF;
+    }
+    return static_cast<ssize_t>(count);
+}
+
 ssize_t h2_connection::read_streamed_body(stream_state& s, std::uint8_t* buffer, std::size_t length,
                                           std::uint32_t* flags)
 {
--- a/lib/transport/h2_connection.cpp
+++ b/lib/transport/h2_connection.cpp
@@ -198,35 +198,6 @@
     }
 }
 
-ssize_t h2_connection::read_body(nghttp2_session* session, std::int32_t stream,
-                                 std::uint8_t* buffer, std::size_t length, std::uint32_t* flags,
-                                 nghttp2_data_source* source, void* self)
-{
-    (void)session;
-    (void)source;
-    auto& streams = connection_of(self)->streams_;
-    const auto found = streams.find(stream);
-    if (found == streams.end()) {
-        return NGHTTP2_ERR_TEMPORAL_CALLBACK_FAILURE;
-    }
-    stream_state& s = found->second;
-    const std::size_t total = s.sending.size();
-    if (s.sent == total && s.sending.body_stream) {
-        return read_streamed_body(s, buffer, length, flags);
-    }
-    const std::size_t head = s.sending.head.size();
-    const bool in_head = s.sent < head;
-    const std::string& part = in_head || !s.sending.body ? s.sending.head : *s.sending.body;
-    const std::size_t from = in_head ? s.sent : s.sent - head;
-    const std::size_t count = std::min(length, s.sent < total ? part.size() - from : 0);
-    std::copy_n(part.data() + from, count, buffer);
-    s.sent += count;
-    if (s.sent == total && !s.sending.body_stream) {
-        *flags |= NGHTTP2_DATA_FLAG_EOF;
-    }
-    return static_cast<ssize_t>(count);
-}
-
 int h2_connection::on_begin_headers(nghttp2_session* session, const nghttp2_frame* frame,
                                     void* self)
 {
