Give the tests of endless answers ports of their own

Cause, from the stack and the locals of that process: its connection had failed as lost in the first run of the loop (sent = false, no thread of the peer left), and the second run had no end. daemon_tests bind 27361 as well, and metrics_server_test binds 27351: listening failed, and the request reached another program. Now the ports are 27381 and 27382, which no other test uses, the second run of the loop ends if there is a result, and a connection that fails early fails the test. The program builds; the tests were not run with this change, because the hung run held the lock on the ports.

--- a/unittests/transport/endless_reply_test.cpp
+++ b/unittests/transport/endless_reply_test.cpp
@@ -35,7 +35,7 @@
 /// A client on one loop and the peer that replies to it on another.
 class endless_reply : public testing::Test {
 protected:
-    static constexpr std::uint16_t port = 27361;
+    static constexpr std::uint16_t port = 27382;
 
     ~endless_reply() override
     {
@@ -153,13 +153,17 @@
     loop_.run();
     loop_.clear_stop();
     paused = true;
+    EXPECT_FALSE(result_.has_value()) << "the connection failed before the reply was sent";
     // The socket buffers usually take all bytes; the test does not depend on it.
     for (int i = 0; i < 200 && !sent; ++i) {
         std::this_thread::sleep_for(std::chrono::milliseconds(1));
     }
     bool done_before_other_work = false;
     loop_.post([&] { done_before_other_work = result_.has_value(); });
-    loop_.run();
+    while (!result_) {
+        loop_.run();
+        loop_.clear_stop();
+    }
     EXPECT_TRUE(std::holds_alternative<h2_message>(*result_));
     EXPECT_FALSE(done_before_other_work);
     client_.reset();
--- a/unittests/transport/endless_response_test.cpp
+++ b/unittests/transport/endless_response_test.cpp
@@ -93,7 +93,7 @@
 /// accepted.
 class endless_target : public testing::Test {
 protected:
-    static constexpr std::uint16_t port = 27351;
+    static constexpr std::uint16_t port = 27381;
     using script = std::function<void(raw_socket&)>;
 
     ~endless_target() override { join_target(); }
