Close the connections with streamed responses when their client ends

What callers saw: nothing while a node runs; a node that ends while a response is streamed uses freed memory, and the connection to the target stays open. Cause: target_client forgot a connection when the head of its response was delivered, or when a response came before the request was sent, so that the connection outlived its client. Now it is busy until the response was received and the request was sent, and its client closes it.

--- a/include/fescuedyke/transport/target_client.h
+++ b/include/fescuedyke/transport/target_client.h
@@ -72,10 +72,12 @@
     /// Keeps a connection for reuse, and closes the idle connections that are past their deadline.
     void on_idle(const std::shared_ptr<connection>& c);
     void on_closed(const std::shared_ptr<connection>& c);
+    void remove_busy(const std::shared_ptr<connection>& c);
 
     event_loop& loop_;
     std::uint64_t connections_made_ = 0;
     std::vector<std::shared_ptr<connection>> idle_;
+    /// Connections by request, until the response was received and the request was sent completely.
     std::map<std::uint64_t, std::shared_ptr<connection>> busy_;
 };
 
--- a/lib/transport/target_client.cpp
+++ b/lib/transport/target_client.cpp
@@ -88,12 +88,22 @@
     for (const auto& entry : expired) {
         entry->cancel();
     }
+    remove_busy(c);
     idle_.push_back(c);
 }
 
+void target_client::remove_busy(const std::shared_ptr<connection>& c)
+{
+    const auto found = busy_.find(c->id());
+    if (found != busy_.end() && found->second == c) {
+        busy_.erase(found);
+    }
+}
+
 void target_client::on_closed(const std::shared_ptr<connection>& c)
 {
     idle_.erase(std::remove(idle_.begin(), idle_.end(), c), idle_.end());
+    remove_busy(c);
     // Member functions of the connection may still be on the stack, so it is destroyed later.
     loop_.post([c] {});
 }
--- a/lib/transport/target_connection.cpp
+++ b/lib/transport/target_connection.cpp
@@ -304,7 +304,6 @@
     const std::shared_ptr<connection> self = shared_from_this();
     start_body_timer();
     response_delivered_ = true;
-    owner_.busy_.erase(request_id_);
     std::exchange(done_, nullptr)(std::move(response));
     return fd_ >= 0 && response_body_;
 }
@@ -370,10 +369,8 @@
     update_idle_deadline();
     response_delivered_ = true;
     const callback done = std::exchange(done_, nullptr);
-    const std::uint64_t id = request_id_;
     const std::shared_ptr<connection> self = shared_from_this();
     reuse_or_close();
-    owner_.busy_.erase(id);
     done(std::move(response));
     return true;
 }
@@ -392,7 +389,6 @@
         return;
     }
     target_client& owner = owner_;
-    owner.busy_.erase(id);
     if (stale && request.may_resend && !request.request->body_stream) {
         owner.start(id, request, done, true);
         return;
--- a/unittests/transport/endless_response_test.cpp
+++ b/unittests/transport/endless_response_test.cpp
@@ -146,7 +146,7 @@
     target_result send(const target_request& request)
     {
         target_result result = target_failure::never_sent;
-        client_.send(++next_request_, request, [&](target_result received) {
+        client_->send(++next_request_, request, [&](target_result received) {
             result = std::move(received);
             loop_.post([this] { loop_.stop(); });
         });
@@ -177,13 +177,13 @@
         EXPECT_TRUE(failure != nullptr && *failure == target_failure::truncated);
         const auto* next = std::get_if<http_response>(&second);
         EXPECT_TRUE(next != nullptr && *next->body == "next");
-        client_.close_idle();
+        client_->close_idle();
         join_target();
     }
 
     system_clock clock_;
     event_loop loop_{clock_};
-    target_client client_{loop_};
+    std::unique_ptr<target_client> client_ = std::make_unique<target_client>(loop_);
     std::uint64_t next_request_ = 0;
     std::atomic<bool> stopped_{false};
     std::thread thread_;
@@ -221,7 +221,7 @@
         c.wait_for_close();
     }});
     bool done = false;
-    client_.send(1, make_request(), [&](const target_result&) {
+    client_->send(1, make_request(), [&](const target_result&) {
         done = true;
         loop_.post([this] { loop_.stop(); });
     });
@@ -236,7 +236,24 @@
     loop_.run();
     EXPECT_TRUE(done);
     EXPECT_FALSE(done_before_other_work);
-    client_.close_idle();
+    client_->close_idle();
+}
+
+// Guards against a connection that outlives its client because its response is still streamed.
+TEST_F(endless_target, a_streamed_response_ends_with_its_client)
+{
+    std::atomic<bool> closed{false};
+    run_target({[&](raw_socket& c) {
+        c.read_until("\r\n\r\n");
+        c.send("HTTP/1.1 200 OK\r\nId: 1\r\n\r\n" + std::string(600U << 10U, 'x'));
+        closed = c.wait_for_close();
+    }});
+    const target_result result = send(make_request(true));
+    const auto* response = std::get_if<http_response>(&result);
+    EXPECT_TRUE(response != nullptr && response->body_stream != nullptr);
+    client_.reset();
+    join_target();
+    EXPECT_TRUE(closed);
 }
 
 // Guards against an answer of bytes that arrived before their request was sent.
@@ -264,7 +281,7 @@
     const target_result second = send(make_request());
     const auto* next = std::get_if<http_response>(&second);
     EXPECT_TRUE(next != nullptr && *next->body == "next");
-    client_.close_idle();
+    client_->close_idle();
 }
 
 } // namespace
