Destroy the event loop's handlers while the loop still works

What was seen: a process that ended while a connection to its target was open crashed in the destructor of its event loop. It ended with a signal instead of status 0, after its sockets were reset in no defined order.

Cause: handlers own connections, and the destructor of a connection unwatches its socket. The handlers were destroyed by the destructor of the map that the connections then changed.

Evidence, before: event_loop.handlers_that_own_their_connections_are_destroyed_with_the_loop ends with "free(): double free detected in tcache 2"; a node that is destroyed with an open response of its target ends with SIGSEGV in event_loop::unwatch, called from target_client::connection.

Why this works: the destructor takes handlers, timers and tasks out of the loop before it destroys them, until none is left, so that their destructors find a loop that is whole.

--- a/lib/transport/event_loop.cpp
+++ b/lib/transport/event_loop.cpp
@@ -32,6 +32,14 @@
 
 event_loop::~event_loop()
 {
+    // Handlers, timers and tasks may own connections, which use the loop in their destructors.
+    while (!socket_handlers_.empty() || !timers_.empty() || has_posted_tasks()) {
+        const auto handlers = std::exchange(socket_handlers_, {});
+        const auto timers = std::exchange(timers_, {});
+        std::vector<task> tasks;
+        const std::lock_guard<std::mutex> lock(mutex_);
+        tasks.swap(posted_tasks_);
+    }
     ::close(wake_fd_);
     ::close(epoll_fd_);
 }
