Keep a stopping node closed when its target announces itself

What callers saw: a node that had been told to stop took new calls again as soon as its target, which may outlive it, renewed its announcement. Such calls were cut when the node ended.

Cause: an announcement clears the state "draining", whether it came from the target's own drain or from the stop of the node. Only the platform's adapter ignored announcements during a stop.

Evidence, before: shutdown.announcement_of_the_target_does_not_open_a_stopping_node fails: "Value of: dispatched_.empty() Actual: false", and no reply was given. After: 38 node tests pass, this one among them.

Why this works: the node core itself remembers the stop and ignores announcements from then on, so that new calls are refused as draining until the end. The check in platform/ is not needed any more.

--- a/include/fescuedyke/node/node_core.h
+++ b/include/fescuedyke/node/node_core.h
@@ -79,6 +79,7 @@
     std::shared_ptr<const bucket_table> owner_table_;
     config_version policies_version_;
     bool configured_ = false;
+    bool stopping_ = false;
     instant last_sweep_;
 };
 
--- a/lib/node/node_core.cpp
+++ b/lib/node/node_core.cpp
@@ -128,6 +128,10 @@
 
 void node_core::on(const target_announced& event, moment at)
 {
+    if (stopping_) {
+        // The target may outlive the node: its announcement must not open the node to new calls.
+        return;
+    }
     if (inbound_.draining()) {
         // Buckets released on leaving may have another owner by now, so this instance rejoins under
         // a new incarnation.
@@ -147,6 +151,7 @@
 void node_core::on(const node_stopping& event, moment at)
 {
     (void)event;
+    stopping_ = true;
     inbound_.on_draining();
     owned_buckets_.release_all();
     outbound_.on_stopping();
