Refuse requests in time before a node ends

What callers saw: from 2.5 to 5.3 s after SIGTERM a node still accepted requests and passed them on. At 5.3 s it ended whatever was open, so that requests of those seconds with seconds of work were cut. Calls that waited for the target were cut as well, although they had not run.

Cause: requests with a route were exempt from the refusal of a stopping node, and the process knew only "open" and "ended". The listening socket was closed before the end, so that connections of the last moments were reset.

Now graceful_shutdown takes the steps of a stop in order, with time limits and without a clock of its own: requests are served with a closing response, up to 2.5 s after SIGTERM and half of the drain limit at most; then every new request is refused as not run at once, while open ones end; at the drain limit, calls that wait for the target are refused, and no attempt is made any more; at last the refusals are sent. The listening socket stays open all the time. traffic_runtime takes these steps for the platform's node and for the product's own interface; child calls of a running call are served until the drain limit, where the parent is known.

--- a/include/fescuedyke/daemon/daemon.h
+++ b/include/fescuedyke/daemon/daemon.h
@@ -75,6 +75,8 @@
     metrics_server metrics_{traffic_loop_};
     std::unique_ptr<traffic_runtime> traffic_;
     std::unique_ptr<control_runtime> control_;
+    /// Whether the control runtime has stopped, for the traffic thread.
+    bool control_stopped_ = false;
 };
 
 } // namespace fescuedyke
--- a/include/fescuedyke/daemon/traffic_runtime.h
+++ b/include/fescuedyke/daemon/traffic_runtime.h
@@ -3,6 +3,7 @@
 
 #include "fescuedyke/control/messages.h"
 #include "fescuedyke/daemon/decision_log.h"
+#include "fescuedyke/daemon/graceful_shutdown.h"
 #include "fescuedyke/daemon/http_dialect.h"
 #include "fescuedyke/daemon/traffic_metrics.h"
 #include "fescuedyke/membership/target_tracker.h"
@@ -33,6 +34,16 @@
     std::function<void(const account_report&)> on_account_report;
 };
 
+/// Is told of the progress of a stop. The functions are called on the traffic thread.
+struct stop_listener {
+    /// Open requests have ended, or their time is over. Optional.
+    std::function<void()> on_drained = nullptr;
+    /// Returns whether the work that on_drained() started is done. Optional.
+    std::function<bool()> may_end = nullptr;
+    /// Everything was sent. No event may be handled any more.
+    std::function<void()> on_ended;
+};
+
 /// All functions must be called on the traffic thread, or before it is started.
 class traffic_runtime {
 public:
@@ -62,13 +73,9 @@
     /// Logs \p event with the requests and responses that are not complete yet.
     void log_open_work(const std::string& event) const;
 
-    /// Waits up to \p timeout for open calls and the handover of run records to end, and then calls
-    /// \p done.
-    void stop(millis timeout, std::function<void()> done);
-
-    /// Accepts no more connections from other nodes and tells connected nodes to send no more
-    /// requests.
-    void shut_down();
+    /// Shuts down within \p limits. New calls for the target are refused at once. The listening
+    /// socket of the HTTP server stays open, so that all requests are answered until the end.
+    void stop(const shutdown_limits& limits, stop_listener listener);
 
     /// Returns the state of the node for operators.
     nlohmann::json state() const;
@@ -90,7 +97,10 @@
     void publish_record();
     void publish_account_report_if_due(instant now);
     void publish_account_report();
-    void finish_stop_if_drained();
+    shutdown_steps make_shutdown_steps();
+    /// Returns whether a call is open, or a response or a reply to another node is not sent yet.
+    bool has_open_requests() const;
+    void begin_end();
     void record_times(const node_event& event, instant now);
     void log_event(const node_event& event, instant now);
     void log_sent(const send_call& action);
@@ -134,8 +144,8 @@
     std::uint64_t published_revision_ = 0;
     instant account_published_at_;
     bool published_ready_ = false;
-    std::function<void()> on_stopped_;
-    instant stop_deadline_;
+    graceful_shutdown shutdown_;
+    stop_listener stop_listener_;
 };
 
 } // namespace fescuedyke
--- a/include/fescuedyke/node/events.h
+++ b/include/fescuedyke/node/events.h
@@ -121,9 +121,16 @@
 /// The target accepts no new calls and finishes those that it has.
 struct target_draining {};
 
-/// The node is shutting down: it accepts no new root calls and no new calls for its target.
+/// The node is shutting down: it accepts no new calls for its target.
 struct node_stopping {};
 
+/// The node accepts no new root calls from now on.
+struct node_refusing {};
+
+/// The node is about to end: it refuses all new calls and those that wait for the target, and makes
+/// no further attempts.
+struct node_ending {};
+
 /// The configuration was confirmed to be fresh, or a later version was received.
 struct policies_updated {
     std::shared_ptr<const policy_set> policies;
@@ -161,8 +168,8 @@
 using node_event =
     std::variant<caller_request, caller_disconnected, peer_call, peer_cancelled, peer_reply,
                  peer_failed, target_answered, target_failed, target_announced, target_draining,
-                 node_stopping, policies_updated, targets_updated, owners_updated, lease_renewed,
-                 records_handed_over, tick>;
+                 node_stopping, node_refusing, node_ending, policies_updated, targets_updated,
+                 owners_updated, lease_renewed, records_handed_over, tick>;
 
 } // namespace fescuedyke
 
--- a/include/fescuedyke/node/inbound_calls.h
+++ b/include/fescuedyke/node/inbound_calls.h
@@ -57,6 +57,8 @@
     void on_failed(const target_failed& event, moment at);
     void on_announced(const target_announced& event, moment at);
     void on_draining();
+    /// Refuses the calls that wait for the target.
+    void on_ending(instant now);
     void on_records_handed_over(const records_handed_over& event);
     void expire(moment at);
 
--- a/include/fescuedyke/node/node_core.h
+++ b/include/fescuedyke/node/node_core.h
@@ -54,6 +54,8 @@
     void on(const target_announced& event, moment at);
     void on(const target_draining& event, moment at);
     void on(const node_stopping& event, moment at);
+    void on(const node_refusing& event, moment at);
+    void on(const node_ending& event, moment at);
     void on(const policies_updated& event, moment at);
     void on(const targets_updated& event, moment at);
     void on(const owners_updated& event, moment at);
--- a/include/fescuedyke/node/outbound_calls.h
+++ b/include/fescuedyke/node/outbound_calls.h
@@ -65,7 +65,10 @@
     void on_peer_failed(const peer_failed& event, moment at);
     void on_policies(std::shared_ptr<const policy_set> policies);
     void on_owners(std::shared_ptr<const bucket_table> owners);
-    void on_stopping() { stopping_ = true; }
+    /// Refuses all root calls from now on.
+    void on_refusing() { refuses_root_calls_ = true; }
+    /// Refuses all calls and makes no attempts from now on.
+    void on_ending() { ending_ = true; }
     void expire(instant now);
 
     /// Cancels all child calls of \p parent, which has ended.
@@ -109,7 +112,8 @@
     account& accounts_;
     random_source& random_;
     node_actions& actions_;
-    bool stopping_ = false;
+    bool refuses_root_calls_ = false;
+    bool ending_ = false;
     std::uint64_t bytes_held_ = 0;
     std::shared_ptr<const policy_set> policies_;
     std::shared_ptr<const bucket_table> owners_;
--- a/lib/daemon/daemon.cpp
+++ b/lib/daemon/daemon.cpp
@@ -28,8 +28,8 @@
 constexpr int misdirected_status = 421;
 constexpr int unavailable_status = 503;
 
-/// How long pending responses may still be sent after the listening sockets are closed.
-constexpr millis final_response_period{50};
+/// Time after the drain in which the control group is informed and the last responses are sent.
+constexpr millis final_response_time{3000};
 
 node_settings make_node_settings(const process_settings& settings, incarnation start)
 {
@@ -144,21 +144,21 @@
 
 void daemon_process::stop()
 {
-    traffic_loop_.post([this] {
-        traffic_->stop(settings_.drain_timeout, [this] {
-            control_loop_.post([this] {
-                control_->stop([this] {
-                    control_loop_.stop();
-                    traffic_loop_.post([this] {
-                        traffic_->shut_down();
-                        http_.stop_listening();
-                        traffic_loop_.run_after(final_response_period,
-                                                [this] { traffic_loop_.stop(); });
-                    });
-                });
-            });
+    shutdown_limits limits;
+    limits.drain_limit = settings_.drain_timeout;
+    limits.final_time = final_response_time;
+    stop_listener listener;
+    listener.on_drained = [this] {
+        control_loop_.post([this] {
+            control_->stop([this] { traffic_loop_.post([this] { control_stopped_ = true; }); });
         });
-    });
+    };
+    listener.may_end = [this] { return control_stopped_; };
+    listener.on_ended = [this] {
+        control_loop_.stop();
+        traffic_loop_.stop();
+    };
+    traffic_loop_.post([this, limits, listener] { traffic_->stop(limits, listener); });
 }
 
 void daemon_process::respond_with_error(exchange_id exchange, int status,
--- a/lib/daemon/traffic_runtime.cpp
+++ b/lib/daemon/traffic_runtime.cpp
@@ -57,9 +57,11 @@
                          return held + bytes <= settings_.memory_bytes;
                      }}),
       target_(loop), metrics_(metrics),
-      decision_log_({}, [](const std::string& event, const nlohmann::json& details) {
-          write_log(log_level::info, event, details);
-      })
+      decision_log_({},
+                    [](const std::string& event, const nlohmann::json& details) {
+                        write_log(log_level::info, event, details);
+                    }),
+      shutdown_(make_shutdown_steps())
 {
 }
 
@@ -141,7 +143,7 @@
         update_gauges();
         publish_account_report_if_due(at.now);
     }
-    finish_stop_if_drained();
+    shutdown_.advance(at.now);
 }
 
 void traffic_runtime::update_gauges()
@@ -233,35 +235,44 @@
                {"peers_with_unsent_bytes", server_.connections_with_unsent_bytes()}});
 }
 
-void traffic_runtime::stop(millis timeout, std::function<void()> done)
+void traffic_runtime::stop(const shutdown_limits& limits, stop_listener listener)
 {
-    on_stopped_ = std::move(done);
-    stop_deadline_ = loop_.now().now + timeout;
+    stop_listener_ = std::move(listener);
+    http_.begin_drain();
     handle(node_stopping{});
     publish_record();
+    shutdown_.begin(limits, loop_.now().now);
 }
 
-void traffic_runtime::finish_stop_if_drained()
+shutdown_steps traffic_runtime::make_shutdown_steps()
 {
-    if (!on_stopped_) {
-        return;
-    }
-    const bool busy = !core_.idle() || core_.has_pending_handover();
-    if (busy && loop_.now().now < stop_deadline_) {
-        return;
-    }
-    if (!core_.idle()) {
-        write_log(log_level::warning, "drain-limit-reached",
-                  {{"inbound", core_.inbound().open_calls()},
-                   {"outbound", core_.outbound().open_calls()}});
-    }
-    publish_account_report();
-    std::exchange(on_stopped_, nullptr)();
+    shutdown_steps steps;
+    steps.refuse_requests = [this] { handle(node_refusing{}); };
+    steps.has_open_requests = [this] { return has_open_requests(); };
+    steps.begin_end = [this] { begin_end(); };
+    steps.may_end = [this] {
+        return http_.open_exchanges() == 0 && http_.connections_with_unsent_bytes() == 0 &&
+               (!stop_listener_.may_end || stop_listener_.may_end());
+    };
+    steps.end = [this] { stop_listener_.on_ended(); };
+    return steps;
 }
 
-void traffic_runtime::shut_down()
+bool traffic_runtime::has_open_requests() const
 {
+    return !core_.idle() || core_.has_pending_handover() || http_.open_exchanges() > 0;
+}
+
+void traffic_runtime::begin_end()
+{
+    log_open_work(has_open_requests() ? "drain-limit-reached" : "drained");
+    handle(node_ending{});
     server_.shut_down();
+    http_.close_idle();
+    publish_account_report();
+    if (stop_listener_.on_drained) {
+        stop_listener_.on_drained();
+    }
 }
 
 nlohmann::json traffic_runtime::state() const
--- a/lib/node/inbound_calls.cpp
+++ b/lib/node/inbound_calls.cpp
@@ -404,6 +404,20 @@
     draining_ = true;
 }
 
+void inbound_calls::on_ending(instant now)
+{
+    draining_ = true;
+    std::vector<inbound_id> queued;
+    for (const auto& [id, call] : calls_) {
+        if (call.current_stage == inbound_call::stage::queued) {
+            queued.push_back(id);
+        }
+    }
+    for (const inbound_id id : queued) {
+        abandon(calls_.at(id), outcome_reason::draining, now);
+    }
+}
+
 void inbound_calls::on_records_handed_over(const records_handed_over& event)
 {
     for (const auto& [key, record] : event.records) {
--- a/lib/node/node_core.cpp
+++ b/lib/node/node_core.cpp
@@ -154,10 +154,23 @@
     stopping_ = true;
     inbound_.on_draining();
     owned_buckets_.release_all();
-    outbound_.on_stopping();
     (void)at;
 }
 
+void node_core::on(const node_refusing& event, moment at)
+{
+    (void)event;
+    (void)at;
+    outbound_.on_refusing();
+}
+
+void node_core::on(const node_ending& event, moment at)
+{
+    (void)event;
+    outbound_.on_ending();
+    inbound_.on_ending(at.now);
+}
+
 void node_core::on(const policies_updated& event, moment at)
 {
     (void)at;
--- a/lib/node/outbound_calls.cpp
+++ b/lib/node/outbound_calls.cpp
@@ -63,7 +63,7 @@
     if (!policies_ && !event.route) {
         return refused(outcome_reason::not_ready);
     }
-    if (stopping_ && !options->parent && !event.route) {
+    if (ending_ || (refuses_root_calls_ && !options->parent)) {
         return refused(outcome_reason::draining);
     }
     if (bytes_held_ + event.request->held_bytes() > settings_.memory_bytes) {
@@ -334,7 +334,7 @@
         const bool failed =
             call.routed && response.status >= min_failure_status && response.body_stream == nullptr;
         const outcome failure_result = outcome::unknown(outcome_reason::connection_lost);
-        if (failed && call.context.idempotent && may_retry_routed(call, failure_result, now)) {
+        if (failed && call.context.idempotent && may_retry(call, failure_result, now)) {
             call.failed_response = response;
             call.last_result = failure_result;
             send_retry(call, at);
--- a/lib/node/outbound_retry.cpp
+++ b/lib/node/outbound_retry.cpp
@@ -49,6 +49,9 @@
 
 bool outbound_calls::may_retry(const outbound_call& call, const outcome& result, instant now)
 {
+    if (ending_) {
+        return false;
+    }
     if (call.routed) {
         return may_retry_routed(call, result, now);
     }
--- a/unittests/node/shutdown_test.cpp
+++ b/unittests/node/shutdown_test.cpp
@@ -114,5 +114,58 @@
     EXPECT_EQ(replies_[0].reply.result.reason, outcome_reason::draining);
 }
 
+// Guards against requests that are passed on shortly before the node ends, and then cut.
+TEST_F(shutdown, routed_request_is_refused_as_not_run_after_the_serving_phase)
+{
+    handle(node_stopping{});
+    receive_request(1);
+    EXPECT_EQ(sent_.size(), 1U);
+    handle(node_refusing{});
+    receive_request(2);
+    EXPECT_EQ(sent_.size(), 1U);
+    ASSERT_EQ(answers_.size(), 1U);
+    EXPECT_EQ(answers_[0].exchange, exchange_id(2));
+    EXPECT_EQ(answers_[0].result.kind, outcome_kind::not_run);
+    EXPECT_TRUE(answers_[0].result.retry_helps);
+}
+
+// Guards against calls that wait for the target until the node ends and are cut although they did
+// not run.
+TEST_F(shutdown, queued_call_is_refused_as_not_run_before_the_node_ends)
+{
+    receive_call(1);
+    receive_call(2);
+    ASSERT_EQ(dispatched_.size(), 1U);
+    handle(node_stopping{});
+    handle(node_ending{});
+    ASSERT_EQ(replies_.size(), 1U);
+    EXPECT_EQ(std::get<exchange_id>(replies_[0].to), exchange_id(2));
+    EXPECT_EQ(replies_[0].reply.result.kind, outcome_kind::not_run);
+    EXPECT_EQ(dispatched_.size(), 1U);
+
+    // The running call is not broken off: its answer is delivered.
+    http_response response;
+    response.status = 200;
+    handle(target_answered{dispatched_[0].call, response, false});
+    ASSERT_EQ(replies_.size(), 2U);
+    EXPECT_EQ(replies_[1].reply.result.kind, outcome_kind::answered);
+}
+
+// Guards against attempts that are made when the node can no longer wait for their replies.
+TEST_F(shutdown, refused_attempt_is_not_repeated_by_an_ending_node)
+{
+    receive_request(1);
+    ASSERT_EQ(sent_.size(), 1U);
+    handle(node_stopping{});
+    handle(node_ending{});
+    peer_reply event;
+    event.call = sent_[0].context.call;
+    event.reply.result = outcome::not_run(outcome_reason::overloaded);
+    handle(event);
+    EXPECT_EQ(sent_.size(), 1U);
+    ASSERT_EQ(answers_.size(), 1U);
+    EXPECT_EQ(answers_[0].result.kind, outcome_kind::not_run);
+}
+
 } // namespace
 } // namespace fescuedyke
