End a node only when responses and replies have been sent

What callers saw: a node that was told to stop ended 50 ms after its last call, while responses to slow callers and replies to other nodes, streamed bodies among them, were only partly sent. The rest was cut.

Cause: a call ends when the head of its response is handed to the HTTP server or to HTTP/2, and an exchange when the head is queued. Only these were waited for. Besides, the HTTP/2 server closed a connection right after GOAWAY; bytes that the other node sent then reset it, and replies on their way could be lost with it.

Now the drain also waits for http_server::idle() (no open request, no unsent byte, no connection still closing) and peer_server::idle() (no open stream, no unsent byte), up to the drain limit. After GOAWAY the server leaves it to the other node to close the connection, and the end waits for this up to its own limit.

--- a/include/fescuedyke/transport/h2_connection.h
+++ b/include/fescuedyke/transport/h2_connection.h
@@ -77,7 +77,9 @@
     void ping();
     /// Closes the connection at once; open requests fail.
     void abort() { close(); }
-    /// Tells the peer with GOAWAY that no new requests are accepted.
+    /// Tells the peer with GOAWAY that no new requests are accepted. The peer closes the connection
+    /// after its last response: if this side closed it, later bytes of the peer would reset it, and
+    /// responses on their way could be lost.
     void shut_down();
 
     bool closed() const { return closed_; }
@@ -166,6 +168,8 @@
     bool connected_ = false;
     bool closed_ = false;
     bool flush_scheduled_ = false;
+    /// Whether shut_down() was called.
+    bool shutting_down_ = false;
     /// Whether EPOLLOUT is watched.
     bool write_watched_ = true;
     /// Set to false on destruction; posted tasks check it.
--- a/include/fescuedyke/transport/http_server.h
+++ b/include/fescuedyke/transport/http_server.h
@@ -96,6 +96,9 @@
     /// Returns the bytes reserved for request bodies over all connections.
     std::uint64_t buffered_bytes() const { return buffered_bytes_; }
     std::size_t open_exchanges() const { return connection_by_exchange_.size(); }
+    /// Returns whether no request is open, no byte of a response is unsent and no connection is
+    /// still closing.
+    bool idle() const;
     std::size_t connections() const { return connections_.size(); }
     /// Returns the connections whose responses were not sent completely.
     std::size_t connections_with_unsent_bytes() const;
--- a/include/fescuedyke/transport/peer_server.h
+++ b/include/fescuedyke/transport/peer_server.h
@@ -46,6 +46,10 @@
     /// Returns the connections with bytes that wait to be sent.
     std::size_t connections_with_unsent_bytes() const;
 
+    /// Returns whether all requests were answered and all responses were sent.
+    bool idle() const { return open_streams() == 0 && connections_with_unsent_bytes() == 0; }
+    std::size_t connections() const { return sessions_.size(); }
+
     /// Stops accepting connections and tells all peers to send no more requests.
     void shut_down();
 
--- a/lib/daemon/traffic_runtime.cpp
+++ b/lib/daemon/traffic_runtime.cpp
@@ -251,7 +251,8 @@
     steps.has_open_requests = [this] { return has_open_requests(); };
     steps.begin_end = [this] { begin_end(); };
     steps.may_end = [this] {
-        return http_.open_exchanges() == 0 && http_.connections_with_unsent_bytes() == 0 &&
+        // Other nodes close their connections once they know that this one is shutting down.
+        return http_.idle() && server_.connections() == 0 &&
                (!stop_listener_.may_end || stop_listener_.may_end());
     };
     steps.end = [this] { stop_listener_.on_ended(); };
@@ -260,7 +261,7 @@
 
 bool traffic_runtime::has_open_requests() const
 {
-    return !core_.idle() || core_.has_pending_handover() || http_.open_exchanges() > 0;
+    return !core_.idle() || core_.has_pending_handover() || !http_.idle() || !server_.idle();
 }
 
 void traffic_runtime::begin_end()
--- a/lib/transport/h2_connection.cpp
+++ b/lib/transport/h2_connection.cpp
@@ -189,6 +189,7 @@
 void h2_connection::shut_down()
 {
     if (!closed_) {
+        shutting_down_ = true;
         const std::int32_t last = nghttp2_session_get_last_proc_stream_id(session_);
         nghttp2_submit_goaway(session_, NGHTTP2_FLAG_NONE, last, NGHTTP2_NO_ERROR, nullptr, 0);
         schedule_flush();
@@ -439,7 +440,7 @@
     }
     const bool done = nghttp2_session_want_read(session_) == 0 &&
                       nghttp2_session_want_write(session_) == 0 && output_.empty();
-    if (done) {
+    if (done && !shutting_down_) {
         close();
         return;
     }
--- a/lib/transport/http_connection.h
+++ b/lib/transport/http_connection.h
@@ -28,6 +28,8 @@
     void check_timeouts(instant now);
     void close(connection_end reason);
     void close_if_idle();
+    /// Returns whether no request is open and every response was sent completely.
+    bool idle() const { return pending_responses_.empty() && output_.empty() && !closing_; }
     /// Returns whether bytes of a response wait to be sent.
     bool has_unsent_bytes() const { return output_offset_ < output_.size(); }
 
--- a/lib/transport/http_server.cpp
+++ b/lib/transport/http_server.cpp
@@ -147,6 +147,12 @@
                       [](const auto& entry) { return entry.second->has_unsent_bytes(); }));
 }
 
+bool http_server::idle() const
+{
+    return std::all_of(connections_.begin(), connections_.end(),
+                       [](const auto& entry) { return entry.second->idle(); });
+}
+
 void http_server::close_idle()
 {
     const std::map<std::uint64_t, std::shared_ptr<connection>> open = connections_;
--- a/unittests/daemon/shutdown_test.cpp
+++ b/unittests/daemon/shutdown_test.cpp
@@ -19,9 +19,15 @@
 constexpr std::uint16_t other_peer_port = 27364;
 constexpr std::uint16_t target_port = 27365;
 
+/// More than the sockets of a connection buffer.
+constexpr std::size_t long_body_bytes = 24U << 20U;
+
 /// Longer than any expected wait: a stop does not end earlier because of it.
 constexpr millis long_wait{20'000};
 
+/// Time in which a stop that does not wait for unsent responses would end.
+constexpr std::chrono::milliseconds end_time{400};
+
 const service_name service("s");
 
 /// Runs an event loop in a thread.
@@ -69,7 +75,8 @@
     std::thread thread_;
 };
 
-/// A target that answers `/hold` when it is told to, and every other request at once.
+/// A target that answers `/hold` when it is told to, `/long` with a long body, and every other
+/// request at once.
 class test_target {
 public:
     test_target()
@@ -110,7 +117,8 @@
             held_ = e;
             return;
         }
-        http_->respond(e, make_response("at once"));
+        const bool is_long = r.path == "/long";
+        http_->respond(e, make_response(is_long ? std::string(long_body_bytes, 'x') : "at once"));
     }
 
     std::atomic<int> requests_{0};
@@ -226,6 +234,21 @@
         return c;
     }
 
+    /// Reads a long response to its end and returns the number of bytes of its body.
+    static std::size_t read_long_body(raw_socket& c, std::string received)
+    {
+        const std::size_t head = received.find("\r\n\r\n") + 4;
+        std::size_t size = received.size();
+        while (size < head + long_body_bytes) {
+            const std::size_t more = c.read_some().size();
+            if (more == 0) {
+                break;
+            }
+            size += more;
+        }
+        return size - head;
+    }
+
     test_target target_;
     test_node other_{"other", other_caller_port, other_peer_port};
     test_node own_{"own", own_caller_port, own_peer_port};
@@ -263,5 +286,28 @@
     own_.wait_until_ended();
 }
 
+// Guards against a node that ends while a response to a caller is only partly sent.
+TEST_F(shutdown_test, response_to_a_slow_caller_is_sent_completely)
+{
+    raw_socket c = send_request("/long");
+    const std::string start = c.read_until("\r\n\r\n");
+    own_.stop(long_wait, long_wait);
+    std::this_thread::sleep_for(end_time);
+    EXPECT_EQ(read_long_body(c, start), long_body_bytes);
+    c.close();
+    own_.wait_until_ended();
+}
+
+// Guards against a node that ends while a reply to another node is only partly sent.
+TEST_F(shutdown_test, reply_to_another_node_is_sent_completely)
+{
+    raw_socket c = send_request("/long");
+    const std::string start = c.read_until("\r\n\r\n");
+    other_.stop(long_wait, long_wait);
+    std::this_thread::sleep_for(end_time);
+    EXPECT_EQ(read_long_body(c, start), long_body_bytes);
+    other_.wait_until_ended();
+}
+
 } // namespace
 } // namespace fescuedyke
--- a/unittests/transport/peer_liveness_test.cpp
+++ b/unittests/transport/peer_liveness_test.cpp
@@ -1,9 +1,14 @@
+#include "raw_socket.h"
+
 #include "fescuedyke/transport/peer_client.h"
 #include "fescuedyke/transport/peer_server.h"
 
 #include <gtest/gtest.h>
 
+#include <functional>
+#include <future>
 #include <sys/socket.h>
+#include <thread>
 #include <unistd.h>
 
 namespace fescuedyke {
@@ -28,6 +33,17 @@
         return result;
     }
 
+    /// Calls \p work in the loop, which another thread runs, and waits for it.
+    void run_in_loop(const std::function<void()>& work)
+    {
+        std::promise<void> done;
+        loop_.post([&] {
+            work();
+            done.set_value();
+        });
+        done.get_future().wait();
+    }
+
     system_clock clock_;
     event_loop loop_{clock_};
     peer_client client_{loop_};
@@ -72,5 +88,37 @@
     EXPECT_EQ(std::get<h2_message>(*result).bytes, "late");
 }
 
+// Guards against replies that are lost because the server closes, and so resets, a connection on
+// which the peer still sends.
+TEST_F(peer_liveness, a_server_that_shuts_down_lets_the_peer_close_the_connection)
+{
+    const endpoint address{"127.0.0.1", 27314};
+    peer_server server(loop_, {[](peer_stream_id, const std::string&, const h2_message&) {},
+                               [](peer_stream_id) {}, [](std::uint64_t) { return true; }});
+    ASSERT_TRUE(server.listen(address).ok());
+    std::size_t connections_after_goaway = 0;
+    std::size_t connections_after_close = 1;
+    std::thread peer([&] {
+        raw_socket c = raw_socket::connect(address.port);
+        const std::string empty_settings_frame("\0\0\0\4\0\0\0\0\0", 9);
+        c.send("PRI * HTTP/2.0\r\n\r\nSM\r\n\r\n" + empty_settings_frame);
+        const std::string settings_acknowledgement("\0\0\0\4\1", 5);
+        c.read_until(settings_acknowledgement);
+        loop_.post([&] { server.shut_down(); });
+        const std::string goaway("\0\0\x08\7\0", 5);
+        c.read_until(goaway);
+        run_in_loop([&] { connections_after_goaway = server.connections(); });
+        c.close();
+        while (connections_after_close > 0) {
+            run_in_loop([&] { connections_after_close = server.connections(); });
+        }
+        loop_.stop();
+    });
+    loop_.run();
+    peer.join();
+    EXPECT_EQ(connections_after_goaway, 1U);
+    EXPECT_TRUE(server.idle());
+}
+
 } // namespace
 } // namespace fescuedyke
