--- a/include/fescuedyke/node/node_core.h
+++ b/include/fescuedyke/node/node_core.h
@@ -54,6 +54,8 @@
     void on(const target_announced& event, moment at);
     void on(const target_draining& event, moment at);
     void on(const node_stopping& event, moment at);
+    void on(const node_refusing& event, moment at);
+    void on(const node_ending& event, moment at);
     void on(const policies_updated& event, moment at);
     void on(const targets_updated& event, moment at);
     void on(const owners_updated& event, moment at);
@@ -79,6 +81,7 @@
     std::shared_ptr<const bucket_table> owner_table_;
     config_version policies_version_;
     bool configured_ = false;
+    bool stopping_ = false;
     instant last_sweep_;
 };
 
