Refuse a deregistration that cannot be read

What targets saw: a deregistration whose start time is malformed, as from another writer, took a target that reports no start time out of service. Cause: parse_deregistered_start() returned 0 for it, and on_leave() accepts 0 for a start that counts as 0. An unreadable body even counted as naming any start. Evidence, on: on_leave("i-1", parse_deregistered_start(R"({"born":"x"})")) is accepted, expected stale. The check that a malformed start time is older than any start is replaced by the stricter one that it names none.

--- a/unittests/platform/platform_test.cpp
+++ b/unittests/platform/platform_test.cpp
@@ -125,10 +125,18 @@
 
 TEST(report, deregistration_may_name_the_start_time)
 {
-    EXPECT_EQ(parse_deregistered_start(R"({"born":7})"), 7U);
-    EXPECT_EQ(parse_deregistered_start(""), std::numeric_limits<std::uint64_t>::max());
-    EXPECT_EQ(parse_deregistered_start(R"({"born":"x"})"), 0U)
-        << "an invalid start time is older than any reported start";
+    constexpr std::uint64_t any_start = std::numeric_limits<std::uint64_t>::max();
+    EXPECT_EQ(parse_deregistered_start(R"({"born":7})").value(), 7U);
+    EXPECT_EQ(parse_deregistered_start("").value(), any_start);
+    EXPECT_EQ(parse_deregistered_start("{}").value(), any_start);
+}
+
+// Guards against a target that is taken out of service by a deregistration that cannot be read.
+TEST(report, a_deregistration_that_cannot_be_read_names_no_start)
+{
+    for (const char* body : {R"({"born":"x"})", R"({"born":1.5})", R"({"born":-1})", "born", "["}) {
+        EXPECT_FALSE(parse_deregistered_start(body).ok()) << body;
+    }
 }
 
 http_request sample_request()
