Refuse queued calls before running ones when another service is announced

What callers saw: calls that only waited for a target ended as unknown when another service was announced at its address, so that work that is not idempotent could not be sent again. Cause: abandoning a running call frees its slot, and the next queued call was dispatched and cancelled at once. Evidence, before: shutdown.queued_calls_are_refused_when_another_service_is_announced: dispatched_.size() is 3, expected 1, and the replies of the queued calls are unknown. After: node_tests pass. Queued calls are now refused as not run before running ones are abandoned.

--- a/include/fescuedyke/node/inbound_calls.h
+++ b/include/fescuedyke/node/inbound_calls.h
@@ -93,6 +93,8 @@
     void reply(const inbound_call& call, const outcome& result, const http_response& response,
                instant now);
     void detach_caller(inbound_call& call);
+    /// Ends the calls that wait for the target as not run.
+    void refuse_queued_calls(outcome_reason reason, instant now);
     void abandon(inbound_call& call, outcome_reason reason, instant now);
     void time_out(inbound_call& call, instant now);
     load_report report_load(flow_id flow, instant now) const;
--- a/lib/node/inbound_calls.cpp
+++ b/lib/node/inbound_calls.cpp
@@ -378,7 +378,9 @@
         settings.memory_bytes = settings_.memory_bytes;
         settings.preemption = settings_.preemption;
         settings.adaptive = settings_.adaptive_limit;
-        // No target remains for calls that were queued for another service.
+        // No target remains for the calls of another service. Queued calls go first: the end of a
+        // running call would dispatch them.
+        refuse_queued_calls(outcome_reason::target_unreachable, at.now);
         while (!calls_.empty()) {
             abandon(calls_.begin()->second, outcome_reason::target_unreachable, at.now);
         }
@@ -407,6 +409,11 @@
 void inbound_calls::on_ending(instant now)
 {
     draining_ = true;
+    refuse_queued_calls(outcome_reason::draining, now);
+}
+
+void inbound_calls::refuse_queued_calls(outcome_reason reason, instant now)
+{
     std::vector<inbound_id> queued;
     for (const auto& [id, call] : calls_) {
         if (call.current_stage == inbound_call::stage::queued) {
@@ -414,7 +421,7 @@
         }
     }
     for (const inbound_id id : queued) {
-        abandon(calls_.at(id), outcome_reason::draining, now);
+        abandon(calls_.at(id), reason, now);
     }
 }
 
--- a/unittests/node/shutdown_test.cpp
+++ b/unittests/node/shutdown_test.cpp
@@ -102,6 +102,23 @@
     std::vector<reply_call> replies_;
 };
 
+// Guards against calls that never ran and end as unknown, because another service was announced.
+TEST_F(shutdown, queued_calls_are_refused_when_another_service_is_announced)
+{
+    for (std::uint64_t number = 1; number <= 3; ++number) {
+        receive_call(number);
+    }
+    target_announced event;
+    event.service = service_name("t");
+    event.slots = target_slots;
+    handle(event);
+    EXPECT_EQ(dispatched_.size(), 1U);
+    ASSERT_EQ(replies_.size(), 3U);
+    EXPECT_EQ(replies_[0].reply.result.kind, outcome_kind::not_run);
+    EXPECT_EQ(replies_[1].reply.result.kind, outcome_kind::not_run);
+    EXPECT_EQ(replies_[2].reply.result.kind, outcome_kind::unknown);
+}
+
 // Guards against calls that a stopping node takes because its target announced itself once more.
 TEST_F(shutdown, announcement_of_the_target_does_not_open_a_stopping_node)
 {
