Do not wait in a stop for callers that keep answered connections open

What was seen: in a stop a connection that waits for its caller to close it counted as an open request, so that a stop lasted its whole drain limit as long as such callers came. Evidence, before: http_connection_end.a_connection_that_waits_for_its_caller_has_no_open_request: has_open_requests() Actual: true, Expected: false. After: it passes, and the transport, daemon and node tests.

--- a/include/fescuedyke/transport/http_server.h
+++ b/include/fescuedyke/transport/http_server.h
@@ -98,6 +98,9 @@
     /// its last sent byte until the caller closes it too, or until the caller has received
     /// everything and a fixed time has passed.
     bool idle() const;
+    /// Returns whether a request is being received or open, or bytes of a response wait to be
+    /// passed to their socket.
+    bool has_open_requests() const;
     /// Returns the requests of whose responses no byte was queued.
     std::size_t open_exchanges() const { return connection_by_exchange_.size(); }
     std::size_t connections() const { return connections_.size(); }
--- a/lib/daemon/traffic_runtime.cpp
+++ b/lib/daemon/traffic_runtime.cpp
@@ -261,7 +261,8 @@
 
 bool traffic_runtime::has_open_requests() const
 {
-    return !core_.idle() || core_.has_pending_handover() || !http_.idle() || !server_.idle();
+    return !core_.idle() || core_.has_pending_handover() || http_.has_open_requests() ||
+           !server_.idle();
 }
 
 void traffic_runtime::begin_end()
--- a/lib/transport/http_connection.cpp
+++ b/lib/transport/http_connection.cpp
@@ -79,10 +79,9 @@
     return !last_request_seen_ && !incoming_body_ && (request_in_progress_ || !input_.empty());
 }
 
-bool http_server::connection::is_idle() const
+bool http_server::connection::has_open_requests() const
 {
-    return !closing_ && pending_responses_.empty() && output_.empty() && !incoming_body_ &&
-           !receives_request();
+    return !pending_responses_.empty() || !output_.empty() || incoming_body_ || receives_request();
 }
 
 body_callback http_server::connection::make_loop_callback(void (connection::*step)())
--- a/lib/transport/http_connection.h
+++ b/lib/transport/http_connection.h
@@ -31,9 +31,11 @@
     void close_if_idle();
     /// Decides which response is the last one of the connection.
     void begin_drain();
-    /// Returns whether nothing is being received, answered or sent, and the connection is not being
-    /// closed.
-    bool is_idle() const;
+    /// Returns whether a request is being received or open, or bytes of a response wait to be
+    /// passed to the socket.
+    bool has_open_requests() const;
+    /// Returns whether there is no open request and the connection is not being closed.
+    bool is_idle() const { return !closing_ && !has_open_requests(); }
     /// Returns whether bytes of a response wait to be sent.
     bool has_unsent_bytes() const { return output_offset_ < output_.size(); }
 
--- a/lib/transport/http_server.cpp
+++ b/lib/transport/http_server.cpp
@@ -141,6 +141,12 @@
                       [](const auto& entry) { return entry.second->has_unsent_bytes(); }));
 }
 
+bool http_server::has_open_requests() const
+{
+    return std::any_of(connections_.begin(), connections_.end(),
+                       [](const auto& entry) { return entry.second->has_open_requests(); });
+}
+
 bool http_server::idle() const
 {
     return std::all_of(connections_.begin(), connections_.end(),
--- a/unittests/transport/http_connection_end_test.cpp
+++ b/unittests/transport/http_connection_end_test.cpp
@@ -68,6 +68,19 @@
     EXPECT_FALSE(c.ended());
 }
 
+// Guards against a stop that lasts its whole limit, because callers do not close their connections.
+TEST_F(http_connection_end, a_connection_that_waits_for_its_caller_has_no_open_request)
+{
+    caller c;
+    c.send(get("/1", "Connection: close\r\n"));
+    ASSERT_TRUE(wait_for_requests(1));
+    EXPECT_TRUE(server_->has_open_requests());
+    answer("/1", "one");
+    receive_to_end(c);
+    EXPECT_FALSE(server_->has_open_requests());
+    EXPECT_FALSE(server_->idle());
+}
+
 // Guards against a drain that cuts off pipelined requests that were passed on.
 TEST_F(http_connection_end, a_drain_answers_every_open_request_and_closes_with_the_last_one)
 {
