Reset a closed connection whose response without a length is not complete

What callers saw: a caller that does not accept chunks took a part of a body for the whole, when its connection was closed before the end of the body, as at the end of a stop or when the body had just broken off. Cause: only the timer of a broken-off response reset the connection; every other close ended it like a complete body. Evidence, before: http_connection_end.a_response_without_a_length_is_reset_when_its_connection_is_closed: c.ended() Actual: true, Expected: false. After: it passes, and the transport and daemon tests. Every close now resets the connection unless all bytes of such a body were passed to the socket. A process that ends by force still ends with a plain close.

--- a/lib/transport/http_connection.h
+++ b/lib/transport/http_connection.h
@@ -133,8 +133,9 @@
     bool closing_ = false;
     /// Whether all bytes were passed to the socket and no more will be.
     bool sending_ended_ = false;
-    /// Whether a reset ends the connection: a response whose end is the end of the connection broke
-    /// off and must not look complete.
+    /// Whether the end of the connection ends the body of the last response.
+    bool body_ends_with_connection_ = false;
+    /// Whether a reset ends the connection: such a body broke off and must not look complete.
     bool reset_at_end_ = false;
     /// When the caller was last known not to have received everything.
     instant closing_since_;
--- a/lib/transport/http_connection_end.cpp
+++ b/lib/transport/http_connection_end.cpp
@@ -130,6 +130,7 @@
         output_ += *response.body;
     }
     pending.head_queued = true;
+    body_ends_with_connection_ = ends_with_connection(response, pending.accepts_chunked);
     server_.connection_by_exchange_.erase(pending.exchange);
 }
 
@@ -143,7 +144,7 @@
         const body_state body_state =
             pending.streamed_body ? pending.streamed_body->fill(output_) : body_state::complete;
         if (body_state == body_state::aborted) {
-            reset_at_end_ = ends_with_connection(*pending.response, pending.accepts_chunked);
+            reset_at_end_ = body_ends_with_connection_;
             break_off();
             return;
         }
@@ -212,7 +213,6 @@
         return;
     }
     if (reset_at_end_) {
-        reset_on_close(fd_);
         close(connection_end::response_aborted);
         return;
     }
@@ -228,6 +228,9 @@
     }
     const std::shared_ptr<connection> self = shared_from_this();
     server_.loop_.unwatch(fd_);
+    if (reset_at_end_ || (body_ends_with_connection_ && !sending_ended_)) {
+        reset_on_close(fd_);
+    }
     ::close(fd_);
     fd_ = -1;
     server_.buffered_bytes_ -= std::exchange(reserved_bytes_, 0);
--- a/unittests/transport/http_connection_end_test.cpp
+++ b/unittests/transport/http_connection_end_test.cpp
@@ -68,6 +68,21 @@
     EXPECT_FALSE(c.ended());
 }
 
+// Guards against a response that looks complete, because its connection is closed before its end.
+TEST_F(http_connection_end, a_response_without_a_length_is_reset_when_its_connection_is_closed)
+{
+    caller c;
+    c.send("GET /1 HTTP/1.0\r\n\r\n");
+    ASSERT_TRUE(wait_for_requests(1));
+    const std::unique_ptr<body_writer> body = answer_streamed("/1");
+    body->write("part");
+    ASSERT_TRUE(receive_text(c, "part"));
+    server_.reset();
+    receive_to_end(c);
+    EXPECT_TRUE(c.failed());
+    EXPECT_FALSE(c.ended());
+}
+
 // Guards against a stop that lasts its whole limit, because callers do not close their connections.
 TEST_F(http_connection_end, a_connection_that_waits_for_its_caller_has_no_open_request)
 {
