Limit the head of a chunk and the trailer of a request

What was seen: a caller that sends a chunk extension or a trailer without end fills the memory of its node; no limit on a request counts these bytes. Evidence, before: http_connection_end.a_chunk_head_without_end_is_rejected: received "" after 1 MiB, expected HTTP/1.1 400. After: it passes, and all tests.

--- a/lib/transport/http_codec.cpp
+++ b/lib/transport/http_codec.cpp
@@ -172,7 +172,16 @@
         error_status_ = error == http::error::body_limit ? too_large_status : error_status_;
         return read_progress::failed;
     }
-    return impl_->parser.is_done() ? read_progress::complete : read_progress::incomplete;
+    if (impl_->parser.is_done()) {
+        return read_progress::complete;
+    }
+    // Behind the head, the parser leaves only a chunk head or a trailer of which the end is
+    // missing.
+    if (!in_head() && buffer.size() > max_chunk_head_bytes) {
+        error_status_ = bad_request_status;
+        return read_progress::failed;
+    }
+    return read_progress::incomplete;
 }
 
 bool request_reader::in_head() const
--- a/unittests/transport/http_connection_end_test.cpp
+++ b/unittests/transport/http_connection_end_test.cpp
@@ -83,6 +83,21 @@
     EXPECT_FALSE(c.ended());
 }
 
+// Guards against memory that grows without bound while a caller sends a chunk head without end.
+TEST_F(http_connection_end, a_chunk_head_without_end_is_rejected)
+{
+    constexpr std::size_t part_bytes = 16U << 10U;
+    constexpr std::size_t max_parts = 64;
+    caller c;
+    c.send("POST /1 HTTP/1.1\r\nHost: a\r\nTransfer-Encoding: chunked\r\n\r\n5;a=");
+    for (std::size_t i = 0; i < max_parts && c.received().empty(); ++i) {
+        c.send(std::string(part_bytes, 'x'));
+        settle();
+        c.receive(part_bytes);
+    }
+    EXPECT_EQ(c.received().substr(0, 12), "HTTP/1.1 400");
+}
+
 // Guards against a stop that lasts its whole limit, because callers do not close their connections.
 TEST_F(http_connection_end, a_connection_that_waits_for_its_caller_has_no_open_request)
 {
