Refuse a request whose short body stalls

Cause: only heads and streamed bodies had a time limit. Evidence, before: http_connection_end.a_short_body_that_stalls_is_refused_as_not_run: received "", expected HTTP/1.1 408. After: it passes, and all tests. The request was not passed on, so that 408 is true.

--- a/include/fescuedyke/transport/http_codec.h
+++ b/include/fescuedyke/transport/http_codec.h
@@ -28,8 +28,7 @@
     std::uint64_t max_buffered_bytes = 128ULL << 20U;
     /// Maximum time from the first byte of a request to the end of its head.
     millis head_timeout{10'000};
-    /// Maximum time between two requests on one connection, and between two parts of a streamed
-    /// body.
+    /// Maximum time between two requests on one connection, and between two parts of a body.
     millis idle_timeout{60'000};
 };
 
--- a/lib/transport/http_connection.cpp
+++ b/lib/transport/http_connection.cpp
@@ -17,7 +17,7 @@
 /// closed.
 constexpr millis caller_ack_timeout{10'000};
 
-constexpr int head_timeout_status = 408;
+constexpr int request_timeout_status = 408;
 constexpr int unavailable_status = 503;
 /// The request was passed on, so the status must not promise that it did not run.
 constexpr int body_timeout_status = 504;
@@ -65,13 +65,19 @@
     }
     if (request_in_progress_ && reader_.in_head() &&
         now - request_started_ > server_.limits_.head_timeout) {
-        reject(head_timeout_status);
+        reject(request_timeout_status);
         return;
     }
     const bool reading = (watched_events_ & EPOLLIN) != 0;
-    if (incoming_body_ && reading && now - last_read_ > server_.limits_.idle_timeout) {
+    if (!reading || now - last_read_ <= server_.limits_.idle_timeout) {
+        return;
+    }
+    if (incoming_body_) {
         fail_streaming(body_timeout_status);
     }
+    else if (request_in_progress_ && !reader_.in_head()) {
+        reject(request_timeout_status);
+    }
 }
 
 bool http_server::connection::receives_request() const
--- a/unittests/transport/http_connection_end_test.cpp
+++ b/unittests/transport/http_connection_end_test.cpp
@@ -98,6 +98,18 @@
     EXPECT_EQ(c.received().substr(0, 12), "HTTP/1.1 400");
 }
 
+// Guards against a connection that is held for ever by a short body that stalls.
+TEST_F(http_connection_end, a_short_body_that_stalls_is_refused_as_not_run)
+{
+    caller c;
+    c.send("POST /1 HTTP/1.1\r\nHost: a\r\nContent-Length: 100\r\n\r\npart");
+    settle();
+    pass_time(http_limits().idle_timeout + millis(1000));
+    receive_to_end(c);
+    EXPECT_EQ(c.received().substr(0, 12), "HTTP/1.1 408");
+    EXPECT_TRUE(requests_.empty());
+}
+
 // Guards against a stop that lasts its whole limit, because callers do not close their connections.
 TEST_F(http_connection_end, a_connection_that_waits_for_its_caller_has_no_open_request)
 {
