--- a/unittests/control/group_growth_test.cpp
+++ b/unittests/control/group_growth_test.cpp
@@ -112,8 +112,7 @@
     EXPECT_EQ(c.violation(), "");
 }
 
-// Guards against changes that are accepted on two disks, because the founding of the group takes
-// longer than the time during which new instances count as lost.
+// Guards against changes that are accepted on two disks, because the founding takes too long.
 TEST(group_growth, a_new_group_has_five_voters_within_4_s)
 {
     for (std::uint64_t seed = 65843; seed < 65843 + 100; ++seed) {
@@ -202,8 +201,7 @@
     ASSERT_TRUE(c.start(*leader).ok());
 }
 
-// Guards against a group that stays below five voters, because each election starts the repair
-// anew, for longer than the 4 s during which a returned instance counts as lost.
+// Guards against a group that stays below five voters, because elections delay its repair.
 TEST(group_growth, an_instance_that_lost_its_disk_votes_4_s_after_its_return_despite_an_election)
 {
     control_cluster c(3, 19, growing_group_settings());
@@ -221,8 +219,7 @@
     EXPECT_EQ(c.violation(), "");
 }
 
-// Guards against a vote that no disk holds any more and that is kept until a leader has waited for
-// 3 s, though its instance has asked to join with another disk.
+// Guards against a vote that is kept, although its instance asks to join with another disk.
 TEST(group_growth, an_instance_that_lost_its_disk_votes_2_s_after_its_return)
 {
     control_cluster c(3, 21, growing_group_settings());
@@ -236,8 +233,7 @@
     EXPECT_EQ(c.violation(), "");
 }
 
-// Guards against changes that are accepted on two disks only, and lost with them, because cut-off
-// voters were removed before a learner could replace them.
+// Guards against a loss of changes after cut-off voters were removed too early.
 TEST(group_growth, cut_off_voters_are_not_removed_before_a_learner_votes_in_their_place)
 {
     control_cluster c(3, 22, growing_group_settings());
@@ -256,8 +252,7 @@
     EXPECT_GE(voters_of(c).size(), 5U);
 }
 
-// Guards against changes that are accepted on two disks only, and lost with them, because two
-// instances that lost their disks lost their votes before one of them had caught up.
+// Guards against a loss of changes after two instances that lost their disks lost their votes.
 TEST(group_growth, the_votes_of_two_lost_disks_are_kept_until_the_new_disks_vote)
 {
     control_cluster c(3, 23, growing_group_settings());
@@ -285,8 +280,7 @@
     EXPECT_EQ(voters_of(c).size(), 5U);
 }
 
-// Guards against a removed instance that keeps its vote, because each election starts the wait for
-// its silence anew, for longer than the 4 s during which its successor counts as lost.
+// Guards against a removed instance that keeps its vote, because elections delay its removal.
 TEST(group_growth, a_successor_votes_4_s_after_its_start_despite_two_elections)
 {
     control_cluster c(3, 20, growing_group_settings());
@@ -302,8 +296,7 @@
     EXPECT_EQ(c.violation(), "");
 }
 
-// Guards against two votes of ended instances when only one of them still counts as lost, because
-// the leader ends shortly before it would have removed the vote of the other.
+// Guards against two votes of ended instances, when only one of them still counts as lost.
 TEST(group_growth, of_a_removed_instance_and_an_ended_leader_one_has_no_vote_after_4_s)
 {
     for (std::int64_t leader_ends = 0; leader_ends < 2500; leader_ends += 10) {
--- a/unittests/control/member_store_test.cpp
+++ b/unittests/control/member_store_test.cpp
@@ -42,8 +42,7 @@
     return output;
 }
 
-/// Guards against a member that no longer starts, or has lost entries, after it was killed at any
-/// step while it installed a snapshot that its log does not reach.
+// Guards against a member that no longer starts after a kill while it installed a snapshot.
 TEST(member_store, a_member_killed_at_any_step_of_an_installation_keeps_the_later_entries)
 {
     for (std::size_t writes = 0; writes < 4; ++writes) {
@@ -93,8 +92,7 @@
            stored->state.entries.size() == recovered->state.entries.size();
 }
 
-/// Guards against a member that, killed during a sync, confirms entries, a vote, a snapshot or an
-/// identity that it finds at its next start, and loses them with its power.
+// Guards against a member that confirms what a kill during a sync left not durable.
 TEST(member_store, what_a_start_finds_survives_a_loss_of_power)
 {
     for (std::uint64_t seed = 0; seed < 40; ++seed) {
--- a/unittests/daemon/stop_test.cpp
+++ b/unittests/daemon/stop_test.cpp
@@ -55,8 +55,7 @@
     std::_Exit(result.ok() ? 0 : exit_failure + 1);
 }
 
-// Guards against a stop that never ends because the disk of a member stalls: such processes were
-// still there 30 s after SIGTERM.
+// Guards against a stop that never ends, because the disk of a member stalls.
 TEST(stop, ends_within_its_limit_while_the_disk_stalls)
 {
     GTEST_FLAG_SET(death_test_style, "threadsafe");
--- a/unittests/node/shutdown_test.cpp
+++ b/unittests/node/shutdown_test.cpp
@@ -146,8 +146,7 @@
     EXPECT_TRUE(answers_[0].result.retry_helps);
 }
 
-// Guards against calls that wait for the target until the node ends and are cut although they did
-// not run.
+// Guards against calls that wait for the target and are cut, although they did not run.
 TEST_F(shutdown, queued_call_is_refused_as_not_run_before_the_node_ends)
 {
     receive_call(1);
--- a/unittests/storage/frame_file_test.cpp
+++ b/unittests/storage/frame_file_test.cpp
@@ -59,8 +59,7 @@
     EXPECT_EQ(content->payloads.size(), 1U);
 }
 
-// Guards against a member that does not start after a power loss that cut a write within its
-// header.
+// Guards against a member that does not start after a power loss within a frame header.
 RC_GTEST_PROP(frame_file, a_torn_write_whose_rest_reads_as_zeros_is_excluded, ())
 {
     const std::string before = encode_frames({"first"});
--- a/unittests/subscription/config_subscriber_test.cpp
+++ b/unittests/subscription/config_subscriber_test.cpp
@@ -112,8 +112,7 @@
     EXPECT_NE(std::find(selected.begin(), selected.end(), "m1"), selected.end());
 }
 
-// Guards against deposits refused as not-owner: a leader that had stalled for less than a lease was
-// asked again only after the lease had run out.
+// Guards against deposits refused as not-owner after a short stall of the leader.
 TEST(config_subscriber, a_leader_that_stalled_once_is_asked_again_before_the_lease_runs_out)
 {
     constexpr millis lease{3000};
--- a/unittests/transport/body_streaming_test.cpp
+++ b/unittests/transport/body_streaming_test.cpp
@@ -348,8 +348,7 @@
     EXPECT_TRUE(closed);
 }
 
-// Guards against a target that holds its connection, a stream and a caller after the head of its
-// answer.
+// Guards against a target that holds its connection and a caller after the head of its answer.
 TEST_F(body_streaming, a_response_without_end_is_truncated_at_the_deadline)
 {
     time_left_ = millis(500);
--- a/unittests/transport/endless_reply_test.cpp
+++ b/unittests/transport/endless_reply_test.cpp
@@ -122,8 +122,7 @@
     EXPECT_TRUE(failed_as_lost());
 }
 
-// Guards against a peer whose bytes keep the event loop in one connection, so that all other work
-// waits.
+// Guards against a peer whose bytes keep the event loop in one connection.
 TEST_F(endless_reply, other_work_runs_between_the_parts_of_a_reply)
 {
     std::atomic<bool> paused{false};
--- a/unittests/transport/endless_response_test.cpp
+++ b/unittests/transport/endless_response_test.cpp
@@ -189,15 +189,13 @@
     std::thread thread_;
 };
 
-// Guards against a call that waits for its answer while answers to other requests arrive without
-// end.
+// Guards against a call that waits while answers to other requests arrive without end.
 TEST_F(endless_target, responses_to_other_requests_without_end_are_not_read)
 {
     expect_truncated("", repeat("HTTP/1.1 200 OK\r\nId: 2\r\nContent-Length: 4\r\n\r\nlate"));
 }
 
-// Guards against memory that grows without bound while an answer that must be received whole has no
-// end.
+// Guards against memory that grows without bound while a buffered answer has no end.
 TEST_F(endless_target, a_buffered_body_without_end_is_truncated)
 {
     const std::string head = "HTTP/1.1 200 OK\r\nId: 1\r\n";
@@ -206,8 +204,7 @@
     expect_truncated(head + "Transfer-Encoding: chunked\r\n\r\n", repeat("4\r\nbody\r\n"));
 }
 
-// Guards against a target whose bytes keep the event loop in one connection, so that all other work
-// waits.
+// Guards against a target whose bytes keep the event loop in one connection.
 TEST_F(endless_target, other_work_runs_between_the_parts_of_a_response)
 {
     constexpr std::size_t body_bytes = 400U << 10U;
--- a/unittests/transport/http_connection_end_test.cpp
+++ b/unittests/transport/http_connection_end_test.cpp
@@ -3,8 +3,7 @@
 namespace fescuedyke {
 namespace {
 
-// Guards against requests that were passed on and are cut off behind a response to an HTTP/1.0
-// client whose end is the end of the connection.
+// Guards against requests that are cut off behind a response that ends with its connection.
 TEST_F(http_connection_end,
        nothing_is_dispatched_behind_a_response_that_may_end_with_the_connection)
 {
@@ -48,8 +47,7 @@
     EXPECT_EQ(c.received().find("\r\n0\r\n\r\n"), std::string::npos);
 }
 
-// Guards against a response that broke off and looks complete, because its end is the end of the
-// connection.
+// Guards against a response without a length that broke off and looks complete.
 TEST_F(http_connection_end, a_response_without_a_length_that_breaks_off_ends_with_a_reset)
 {
     caller c;
@@ -185,8 +183,7 @@
     EXPECT_TRUE(cancelled_.empty());
 }
 
-// Guards against a response with a queued head that a drain takes for one that can still announce
-// the end of the connection.
+// Guards against a drain that marks a response whose head was queued as the last one.
 TEST_F(http_connection_end, a_drain_during_a_streamed_response_leaves_one_more_request)
 {
     caller c;
@@ -207,8 +204,7 @@
     EXPECT_TRUE(cancelled_.empty());
 }
 
-// Guards against finished responses and open requests that are discarded because the rest of an
-// answered request's body is malformed.
+// Guards against responses that are discarded, because the rest of a body is malformed.
 TEST_F(http_connection_end, a_malformed_rest_of_an_answered_request_discards_no_response)
 {
     caller c;
@@ -322,8 +318,7 @@
     EXPECT_EQ(server_->connections(), 0U);
 }
 
-// Guards against a close of idle connections that discards a request that has arrived and the
-// response that is on its way.
+// Guards against a close of idle connections that discards a request that has arrived.
 TEST_F(http_connection_end,
        a_request_that_has_arrived_keeps_its_connection_from_being_closed_as_idle)
 {
@@ -374,8 +369,7 @@
     EXPECT_TRUE(c.ended());
 }
 
-// Guards against a request that is cut off because the server itself did not read its body for a
-// time.
+// Guards against a request that is cut off, because the server did not read its body.
 TEST_F(http_connection_end, a_body_that_waits_for_room_does_not_time_out)
 {
     caller c;
--- a/unittests/transport/peer_liveness_test.cpp
+++ b/unittests/transport/peer_liveness_test.cpp
@@ -88,8 +88,7 @@
     EXPECT_EQ(std::get<h2_message>(*result).bytes, "late");
 }
 
-// Guards against replies that are lost because the server closes, and so resets, a connection on
-// which the peer still sends.
+// Guards against replies that are lost, because the server resets a connection at its end.
 TEST_F(peer_liveness, a_server_that_shuts_down_lets_the_peer_close_the_connection)
 {
     const endpoint address{"127.0.0.1", 27314};
