Log cancelled calls and requests that were left unread

Change: call-cancelled states whether the call was queued or running and since when, with a counter by stage; a connection that ends with bytes that were not read or not parsed is reported, too. No decision changes.

Measured: the tests of transport, daemon and node pass.

--- a/include/fescuedyke/daemon/traffic_metrics.h
+++ b/include/fescuedyke/daemon/traffic_metrics.h
@@ -47,6 +47,8 @@
     /// Counts a reply to another node. \p result tells whether the target of this node answered or
     /// failed the call, or this node refused it.
     void on_replied(const service_name& service, const outcome& result);
+    /// Counts a call that its sender cancelled in \p stage.
+    void on_cancelled(const service_name& service, const std::string& stage);
     /// Records \p duration, the time from the dispatch of a call to the response of the target.
     void on_target_answered(const service_name& service, millis duration);
     /// Counts the unanswered requests and the unsent responses of a connection that was cut.
@@ -60,6 +62,7 @@
     counter_family replies_;
     histogram_family target_times_;
     counter_family cut_requests_;
+    counter_family cancelled_calls_;
     gauge_family open_calls_;
     gauge_family node_gauges_;
 };
--- a/include/fescuedyke/daemon/traffic_runtime.h
+++ b/include/fescuedyke/daemon/traffic_runtime.h
@@ -103,6 +103,7 @@
     void begin_end();
     void record_times(const node_event& event, instant now);
     void log_event(const node_event& event, instant now);
+    void log_cancelled(exchange_id stream, instant now);
     void log_sent(const send_call& action);
     void log_caller_answer(const answer_caller& action);
     void log_malformed_reply(const endpoint& peer, const absl::Status& error);
--- a/include/fescuedyke/node/inbound_calls.h
+++ b/include/fescuedyke/node/inbound_calls.h
@@ -45,6 +45,9 @@
     std::optional<idempotency_key> key;
 };
 
+/// Returns the name used in logs and metrics.
+const char* to_string(inbound_call::stage stage);
+
 /// Admits calls, dispatches them to the target, and replies to each exactly once.
 class inbound_calls {
 public:
@@ -67,6 +70,9 @@
     /// Returns the call \p id if it is running at the target, else nullptr.
     inbound_call* find_running(inbound_id id);
 
+    /// Returns the open call of another node's stream, or nullptr.
+    const inbound_call* find_by_stream(exchange_id stream) const;
+
     /// Returns the calls that ended since the last invocation. Their child calls must be cancelled.
     std::vector<inbound_id> take_ended();
 
--- a/include/fescuedyke/transport/http_server.h
+++ b/include/fescuedyke/transport/http_server.h
@@ -42,7 +42,7 @@
     std::size_t open_requests = 0;
     /// Responses known to the server of which at least one byte was not sent.
     std::size_t unsent_responses = 0;
-    /// Received bytes of requests that were not parsed.
+    /// Received bytes of requests that were not parsed, read or not.
     std::size_t unparsed_bytes = 0;
 };
 
--- a/lib/daemon/traffic_metrics.cpp
+++ b/lib/daemon/traffic_metrics.cpp
@@ -34,6 +34,9 @@
       cut_requests_(registry, {"fescuedyke_cut_requests_total",
                                "Requests whose connection ended before their whole response.",
                                {"reason", "stage"}}),
+      cancelled_calls_(registry, {"fescuedyke_cancelled_calls_total",
+                                  "Calls for the target that their sender cancelled, by stage.",
+                                  {"service", "stage"}}),
       open_calls_(registry, {"fescuedyke_open_calls", "Calls that have no outcome yet.", {"side"}}),
       node_gauges_(registry, {"fescuedyke_node", "Other figures of the node.", {"what"}})
 {
@@ -57,6 +60,11 @@
     replies_.add({service.value(), to_string(result.kind), to_string(result.reason)});
 }
 
+void traffic_metrics::on_cancelled(const service_name& service, const std::string& stage)
+{
+    cancelled_calls_.add({service.value(), stage});
+}
+
 void traffic_metrics::on_target_answered(const service_name& service, millis duration)
 {
     target_times_.observe({service.value()}, duration);
@@ -67,6 +75,8 @@
     const std::string reason = to_string(cut.reason);
     cut_requests_.add({reason, "open"}, static_cast<double>(cut.open_requests));
     cut_requests_.add({reason, "unsent"}, static_cast<double>(cut.unsent_responses));
+    // The number of requests in these bytes is not known.
+    cut_requests_.add({reason, "unparsed"}, cut.unparsed_bytes > 0 ? 1 : 0);
 }
 
 void traffic_metrics::set_gauges(const traffic_gauges& gauges)
--- a/lib/daemon/traffic_runtime.cpp
+++ b/lib/daemon/traffic_runtime.cpp
@@ -322,6 +322,7 @@
         peer_request_ids_[call->stream] = dialect_.request_id(*call->request);
     }
     if (const auto* cancelled = std::get_if<peer_cancelled>(&event)) {
+        log_cancelled(cancelled->stream, now);
         peer_request_ids_.erase(cancelled->stream);
     }
     if (const auto* disconnected = std::get_if<caller_disconnected>(&event)) {
@@ -337,6 +338,21 @@
     }
 }
 
+void traffic_runtime::log_cancelled(exchange_id stream, instant now)
+{
+    const inbound_call* call = core_.inbound().find_by_stream(stream);
+    const auto id = peer_request_ids_.find(stream);
+    if (call == nullptr || id == peer_request_ids_.end()) {
+        return;
+    }
+    const char* stage = to_string(call->current_stage);
+    metrics_.on_cancelled(call->context.service, stage);
+    if (should_log(id->second, decision_kind::abnormal)) {
+        decision_log_.write("call-cancelled", id->second,
+                            {{"stage", stage}, {"after_ms", (now - call->arrived_at).count()}});
+    }
+}
+
 void traffic_runtime::log_sent(const send_call& action)
 {
     const std::string id = dialect_.request_id(*action.request);
--- a/lib/node/inbound_calls.cpp
+++ b/lib/node/inbound_calls.cpp
@@ -23,6 +23,19 @@
 
 } // namespace
 
+const char* to_string(inbound_call::stage stage)
+{
+    switch (stage) {
+    case inbound_call::stage::queued:
+        return "queued";
+    case inbound_call::stage::running:
+        return "running";
+    case inbound_call::stage::joined:
+        return "joined";
+    }
+    return "queued";
+}
+
 inbound_calls::inbound_calls(const node_settings& settings, ownership& owned_buckets,
                              account& accounts, const target_chooser& chooser,
                              const flow_dependencies& dependencies, node_actions& actions)
@@ -265,6 +278,12 @@
     registry_.remove_expired(at.wall);
 }
 
+const inbound_call* inbound_calls::find_by_stream(exchange_id stream) const
+{
+    const auto found = by_stream_.find(stream);
+    return found == by_stream_.end() ? nullptr : &calls_.at(found->second);
+}
+
 inbound_call* inbound_calls::find_running(inbound_id id)
 {
     const auto found = calls_.find(id);
--- a/lib/transport/http_connection.h
+++ b/lib/transport/http_connection.h
@@ -105,8 +105,9 @@
     /// body has no room.
     void schedule_parsing();
     void update_watched_events();
-    /// Cancels the pending requests and reports them as cut off for \p reason.
-    void cancel_pending_responses(connection_end reason);
+    /// Cancels the pending requests and reports them as cut off for \p reason, with the number of
+    /// bytes that were left in the socket.
+    void cancel_pending_responses(connection_end reason, std::size_t unread_bytes);
 
     http_server& server_;
     std::uint64_t id_;
--- a/lib/transport/http_connection_end.cpp
+++ b/lib/transport/http_connection_end.cpp
@@ -31,11 +31,12 @@
     ::setsockopt(fd, SOL_SOCKET, SO_LINGER, &no_wait, sizeof no_wait);
 }
 
-/// Returns whether bytes have arrived that were not read.
-bool has_unread_bytes(int fd)
+/// Returns the number of bytes that have arrived and were not read.
+std::size_t unread_bytes(int fd)
 {
     int bytes = 0;
-    return ::ioctl(fd, FIONREAD, &bytes) == 0 && bytes > 0;
+    const bool known = ::ioctl(fd, FIONREAD, &bytes) == 0 && bytes > 0;
+    return known ? static_cast<std::size_t>(bytes) : 0;
 }
 
 /// Returns whether the peer has not acknowledged everything that was sent.
@@ -166,7 +167,7 @@
     const std::shared_ptr<connection> self = shared_from_this();
     last_request_seen_ = true;
     closing_ = true;
-    cancel_pending_responses(connection_end::response_aborted);
+    cancel_pending_responses(connection_end::response_aborted, 0);
     incoming_body_.reset();
     request_in_progress_ = false;
     input_.clear();
@@ -188,7 +189,7 @@
 void http_server::connection::close_if_idle()
 {
     // A request that has arrived is served.
-    if (is_idle() && !has_unread_bytes(fd_)) {
+    if (is_idle() && unread_bytes(fd_) == 0) {
         last_request_seen_ = true;
         closing_ = true;
         finish_closing();
@@ -228,25 +229,28 @@
     }
     const std::shared_ptr<connection> self = shared_from_this();
     server_.loop_.unwatch(fd_);
+    // Bytes behind the last request of the connection are not read on purpose.
+    const std::size_t unread = last_request_seen_ ? 0 : unread_bytes(fd_);
     if (reset_at_end_ || (body_ends_with_connection_ && !sending_ended_)) {
         reset_on_close(fd_);
     }
     ::close(fd_);
     fd_ = -1;
     server_.buffered_bytes_ -= std::exchange(reserved_bytes_, 0);
-    cancel_pending_responses(reason);
+    cancel_pending_responses(reason, unread);
     incoming_body_.reset();
     server_.remove_connection(id_);
 }
 
-void http_server::connection::cancel_pending_responses(connection_end reason)
+void http_server::connection::cancel_pending_responses(connection_end reason,
+                                                       std::size_t unread_bytes)
 {
     const std::deque<pending_response> open =
         std::exchange(pending_responses_, std::deque<pending_response>());
     cut_connection cut;
     cut.reason = reason;
     cut.unsent_responses = fd_ < 0 && has_unsent_bytes() ? 1 : 0;
-    cut.unparsed_bytes = input_.size();
+    cut.unparsed_bytes = input_.size() + unread_bytes;
     for (const pending_response& pending : open) {
         server_.buffered_bytes_ -= pending.reserved_bytes;
         const bool was_dispatched = server_.connection_by_exchange_.erase(pending.exchange) > 0;
@@ -258,7 +262,9 @@
             ++cut.unsent_responses;
         }
     }
-    if (server_.handlers_.on_cut && cut.open_requests + cut.unsent_responses > 0) {
+    const bool complete =
+        cut.open_requests == 0 && cut.unsent_responses == 0 && cut.unparsed_bytes == 0;
+    if (server_.handlers_.on_cut && !complete) {
         server_.handlers_.on_cut(cut);
     }
 }
