--- a/unittests/transport/http_connection_fixture.h
+++ b/unittests/transport/http_connection_fixture.h
@@ -127,10 +127,16 @@
             http_server::handlers{[this](exchange_id e, const http_request& r) {
                                       requests_[r.path] = {e, r};
                                   },
-                                  [this](exchange_id e) { cancelled_.push_back(e); }});
+                                  [this](exchange_id e) {
+                                      cancelled_.push_back(e);
+                                      on_cancelled(e);
+                                  }});
         EXPECT_TRUE(server_->listen({"127.0.0.1", connection_end_port}).ok());
     }
 
+    /// Called when the server reports a cancelled request.
+    virtual void on_cancelled(exchange_id) {}
+
     static std::string get(const std::string& path, const std::string& more_headers = "")
     {
         return "GET " + path + " HTTP/1.1\r\nHost: a\r\n" + more_headers + "\r\n";
