Drop requests whose caller left before they were read

Cause: epoll reports the end of a connection together with the bytes in front of it, but the server read and passed on the requests first and looked at the end afterwards. A process that reads late (connections that wait for a descriptor or for processor time, a pause) thus starts work for callers that gave up because their request was not read.

Change: the server notes the end of the connection before it reads, and closes the connection at the first request that needs its caller. Calls need it; reports of targets and orders of operators do not, and are passed on as before. connection-cut and fescuedyke_cut_requests_total state the requests that were dropped.

--- a/include/fescuedyke/transport/http_server.h
+++ b/include/fescuedyke/transport/http_server.h
@@ -42,6 +42,8 @@
     std::size_t open_requests = 0;
     /// Responses known to the server of which at least one byte was not sent.
     std::size_t unsent_responses = 0;
+    /// Requests that were not passed on, because they were read after the caller had left.
+    std::size_t dropped_requests = 0;
     /// Received bytes of requests that were not parsed, read or not.
     std::size_t unparsed_bytes = 0;
 };
@@ -58,6 +60,10 @@
         std::function<void(exchange_id)> on_cancelled;
         /// A connection ended before all of its requests were answered. Optional.
         std::function<void(const cut_connection&)> on_cut = nullptr;
+        /// Returns whether a request is pointless without its caller, so that it is not passed on
+        /// if the caller has closed the connection before the request was read. Optional; by
+        /// default no request is.
+        std::function<bool(const http_request&)> needs_caller = nullptr;
     };
 
     /// Numbers exchanges from \p first_exchange on, so that several servers on one loop can use
--- a/lib/daemon/daemon.cpp
+++ b/lib/daemon/daemon.cpp
@@ -93,7 +93,8 @@
                  on_http(exchange, std::move(request));
              },
              [this](exchange_id exchange) { traffic_->handle(caller_disconnected{exchange}); },
-             [this](const cut_connection& cut) { traffic_->on_connection_cut(cut); }})
+             [this](const cut_connection& cut) { traffic_->on_connection_cut(cut); },
+             [](const http_request& request) { return parse_call_path(request.path).ok(); }})
 {
     // The start time serves as incarnation and as epoch: a later process of the same instance has a
     // greater one.
--- a/lib/daemon/traffic_metrics.cpp
+++ b/lib/daemon/traffic_metrics.cpp
@@ -75,6 +75,7 @@
     const std::string reason = to_string(cut.reason);
     cut_requests_.add({reason, "open"}, static_cast<double>(cut.open_requests));
     cut_requests_.add({reason, "unsent"}, static_cast<double>(cut.unsent_responses));
+    cut_requests_.add({reason, "dropped"}, static_cast<double>(cut.dropped_requests));
     // The number of requests in these bytes is not known.
     cut_requests_.add({reason, "unparsed"}, cut.unparsed_bytes > 0 ? 1 : 0);
 }
--- a/lib/daemon/traffic_runtime.cpp
+++ b/lib/daemon/traffic_runtime.cpp
@@ -220,6 +220,7 @@
                             {{"reason", to_string(cut.reason)},
                              {"open_requests", cut.open_requests},
                              {"unsent_responses", cut.unsent_responses},
+                             {"dropped_requests", cut.dropped_requests},
                              {"unparsed_bytes", cut.unparsed_bytes}});
     }
 }
--- a/lib/transport/http_connection.cpp
+++ b/lib/transport/http_connection.cpp
@@ -126,6 +126,8 @@
 
 void http_server::connection::on_readable(std::uint32_t events)
 {
+    // The end of the connection is reported before the bytes in front of it are read.
+    caller_gone_ = caller_gone_ || (events & (EPOLLERR | EPOLLHUP | EPOLLRDHUP)) != 0;
     if (!can_read_more()) {
         // Nothing is read for now, but the end of the connection must still be detected.
         if ((events & (EPOLLERR | EPOLLHUP)) != 0 ||
@@ -255,6 +257,12 @@
 
 void http_server::connection::dispatch(http_request request)
 {
+    const auto& needs_caller = server_.handlers_.needs_caller;
+    if (caller_gone_ && needs_caller && needs_caller(request)) {
+        ++dropped_requests_;
+        close(connection_end::client_closed);
+        return;
+    }
     pending_response pending;
     pending.exchange = exchange_id(server_.next_exchange_++);
     pending.is_head_request = request.method == "HEAD";
--- a/lib/transport/http_connection.h
+++ b/lib/transport/http_connection.h
@@ -78,6 +78,7 @@
     /// request was answered before, and makes this response the last one of the connection.
     void fail_streaming(int status);
     void end_streaming();
+    /// Passes a request on, or closes the connection if the request needs a caller that is gone.
     void dispatch(http_request request);
     /// Reserves \p bytes for the body of the current request. Returns false if this would exceed
     /// http_limits::max_buffered_bytes.
@@ -128,6 +129,10 @@
     /// When bytes were last read, or reading was resumed after a time without room for them.
     instant last_read_;
     bool parsing_scheduled_ = false;
+    /// Whether the end of the connection has arrived, although bytes before it may be unread.
+    bool caller_gone_ = false;
+    /// Requests that were not passed on, because they need the caller.
+    std::size_t dropped_requests_ = 0;
     /// Whether no further request is accepted.
     bool last_request_seen_ = false;
     /// Whether nothing is sent behind the bytes that are queued.
--- a/lib/transport/http_connection_end.cpp
+++ b/lib/transport/http_connection_end.cpp
@@ -250,6 +250,7 @@
     cut_connection cut;
     cut.reason = reason;
     cut.unsent_responses = fd_ < 0 && has_unsent_bytes() ? 1 : 0;
+    cut.dropped_requests = dropped_requests_;
     cut.unparsed_bytes = input_.size() + unread_bytes;
     for (const pending_response& pending : open) {
         server_.buffered_bytes_ -= pending.reserved_bytes;
@@ -262,8 +263,8 @@
             ++cut.unsent_responses;
         }
     }
-    const bool complete =
-        cut.open_requests == 0 && cut.unsent_responses == 0 && cut.unparsed_bytes == 0;
+    const bool complete = cut.open_requests == 0 && cut.unsent_responses == 0 &&
+                          cut.dropped_requests == 0 && cut.unparsed_bytes == 0;
     if (server_.handlers_.on_cut && !complete) {
         server_.handlers_.on_cut(cut);
     }
--- a/unittests/transport/caller_gone_test.cpp
+++ b/unittests/transport/caller_gone_test.cpp
@@ -40,6 +40,17 @@
     EXPECT_EQ(server_->connections(), 0U);
 }
 
+// Guards against reports of targets and orders of operators that are lost with their sender.
+TEST_F(caller_gone, a_request_that_needs_no_caller_is_passed_on_after_its_caller_left)
+{
+    caller c;
+    c.send(get("/report"));
+    c.close();
+    ASSERT_TRUE(wait_for_requests(1));
+    settle();
+    EXPECT_EQ(server_->connections(), 0U);
+}
+
 // Guards against a call that waits on after its caller left, because the end of the connection is
 // not watched while the buffer of its upload is full (issue 28, GONE).
 TEST_F(caller_gone, the_end_of_a_caller_is_noticed_while_its_upload_waits)
--- a/unittests/transport/http_connection_fixture.h
+++ b/unittests/transport/http_connection_fixture.h
@@ -115,6 +115,9 @@
 
 constexpr const char* close_header = "Connection: close";
 
+/// Path of requests that do not need their caller.
+constexpr const char* report_path = "/report";
+
 /// Runs the server in the thread of the test, one iteration of the event loop at a time.
 class http_connection_end : public testing::Test {
 protected:
@@ -130,7 +133,9 @@
                                   [this](exchange_id e) {
                                       cancelled_.push_back(e);
                                       on_cancelled(e);
-                                  }});
+                                  },
+                                  nullptr,
+                                  [](const http_request& r) { return r.path != report_path; }});
         EXPECT_TRUE(server_->listen({"127.0.0.1", connection_end_port}).ok());
     }
 
