Notice the end of a caller while its upload waits

Cause: while the buffer of a streamed body was full, the end of the connection was not watched. The call of a caller that had left stayed in the queue of its target, and its upload was passed on when a slot became free.

Change: the end of a connection is always watched, and ends a streamed body at once. An end that lies behind bytes which the window of the connection keeps back cannot be seen before they are read.

--- a/lib/transport/http_connection.cpp
+++ b/lib/transport/http_connection.cpp
@@ -128,13 +128,12 @@
 {
     // The end of the connection is reported before the bytes in front of it are read.
     caller_gone_ = caller_gone_ || (events & (EPOLLERR | EPOLLHUP | EPOLLRDHUP)) != 0;
+    if (caller_gone_ && (incoming_body_ || !can_read_more())) {
+        const bool failed = (events & EPOLLERR) != 0;
+        close(failed ? connection_end::connection_failed : connection_end::client_closed);
+        return;
+    }
     if (!can_read_more()) {
-        // Nothing is read for now, but the end of the connection must still be detected.
-        if ((events & (EPOLLERR | EPOLLHUP)) != 0 ||
-            (!incoming_body_ && (events & EPOLLRDHUP) != 0)) {
-            const bool failed = (events & EPOLLERR) != 0;
-            close(failed ? connection_end::connection_failed : connection_end::client_closed);
-        }
         return;
     }
     const socket_read_result result = read_some(fd_, input_);
@@ -318,11 +317,8 @@
         return;
     }
     const bool reading = can_read_more();
-    // While a body waits to be read, EPOLLRDHUP is not watched: the end of the stream is detected
-    // when the bytes before it have been read.
-    const std::uint32_t ends = incoming_body_ && !reading ? 0U : EPOLLRDHUP;
     const std::uint32_t wanted =
-        ends | (reading ? EPOLLIN : 0U) | (output_.empty() ? 0U : EPOLLOUT);
+        EPOLLRDHUP | (reading ? EPOLLIN : 0U) | (output_.empty() ? 0U : EPOLLOUT);
     if (reading && (watched_events_ & EPOLLIN) == 0) {
         last_read_ = server_.loop_.now().now;
     }
--- a/unittests/transport/body_streaming_test.cpp
+++ b/unittests/transport/body_streaming_test.cpp
@@ -269,14 +269,20 @@
 
 TEST_F(body_streaming, a_truncated_request_body_is_truncated_for_the_target)
 {
+    std::atomic<bool> head_received{false};
     std::atomic<std::size_t> received{0};
     run_target([&](raw_socket& c) {
         std::string rest;
         receive_head(c, rest);
+        head_received = true;
         received = receive_body(c, rest, 4U << 20U).size();
     });
     raw_socket c = raw_socket::connect(caller_port);
     c.send(request_head_text(4U << 20U) + make_pattern(2U << 20U));
+    // A request whose caller is gone earlier does not reach the target at all.
+    while (!head_received) {
+        std::this_thread::sleep_for(std::chrono::milliseconds(1));
+    }
     c.reset();
     join_target();
     EXPECT_LE(received, 2U << 20U);
