Read the cancellations that have arrived before passing calls on

Cause: the node of a target passed each call on as soon as its last byte was read. A node that reads late finds a call and its cancellation, or the end of the connection, in the same bytes, and dispatched the call first.

Change: received requests wait until the socket has been read empty, or as much as a receive buffer holds was read. A call that was cancelled by then, or whose sender is gone, is not passed on. Messages that need no sender (records, polls, messages of members) are passed on as before.

--- a/include/fescuedyke/transport/h2_connection.h
+++ b/include/fescuedyke/transport/h2_connection.h
@@ -8,6 +8,7 @@
 #include <nghttp2/nghttp2.h>
 
 #include <cstdint>
+#include <deque>
 #include <functional>
 #include <map>
 #include <memory>
@@ -53,6 +54,9 @@
     virtual void on_closed() = 0;
     /// Server only: returns whether a request of \p bytes may be buffered now.
     virtual bool may_accept(std::uint64_t bytes) = 0;
+    /// Server only: returns whether a request to \p path is pointless if its sender has cancelled
+    /// it or is gone before it was passed on.
+    virtual bool needs_caller(const std::string& path) = 0;
 };
 
 /// An HTTP/2 session over one TCP socket, either as client or as server.
@@ -109,6 +113,10 @@
         std::unique_ptr<body_writer> incoming_body;
         /// Bytes of the received streamed body for which the flow-control window was reopened.
         std::uint64_t released_window_bytes = 0;
+        /// Whether the request or response was received, up to its streamed body.
+        bool complete = false;
+        /// The received request until it is passed on.
+        std::optional<h2_message> waiting;
         /// Whether the request or response was passed to the event handler.
         bool delivered = false;
         bool refused = false;
@@ -135,6 +143,8 @@
     void make_session();
     void on_socket_ready(std::uint32_t events);
     bool read_socket();
+    /// Posts a further read to the loop if received requests wait for it.
+    void schedule_read();
     bool write_socket();
     void flush();
     void schedule_flush();
@@ -148,6 +158,13 @@
     void update_stream_window(std::int32_t stream);
     void resume_sending(std::int32_t stream);
     void deliver(std::int32_t stream, stream_state& state, h2_message message);
+    /// Passes on the requests that were received and not cancelled since.
+    void deliver_requests();
+    /// Passes on the request of a stream if it waits for that.
+    void deliver_request(std::int32_t stream, stream_state& state);
+    /// Handles the end of the stream of a request, which its sender cancelled or which was
+    /// answered.
+    void end_request(std::int32_t stream, stream_state& state, bool cancelled);
     void begin_sending(std::int32_t stream, h2_outgoing_message message);
     /// Returns a callback that posts a call of \p step with \p stream to the loop. The call is
     /// dropped once the connection is closed or destroyed.
@@ -161,11 +178,19 @@
     h2_event_handler& events_;
     nghttp2_session* session_ = nullptr;
     std::map<std::int32_t, stream_state> streams_;
+    /// Server only: the streams of received requests that are not passed on before the bytes behind
+    /// them are read, which may cancel them.
+    std::deque<std::int32_t> received_requests_;
+    /// Reads since requests were last passed on.
+    int reads_before_delivery_ = 0;
     /// Bytes taken from the nghttp2 session; those before \c output_offset_ have been sent.
     std::string output_;
     std::size_t output_offset_ = 0;
     instant last_received_;
     bool connected_ = false;
+    /// Whether the end of the connection has arrived, although bytes before it may be unread.
+    bool peer_gone_ = false;
+    bool read_scheduled_ = false;
     bool closed_ = false;
     bool flush_scheduled_ = false;
     /// Whether shut_down() was called.
--- a/include/fescuedyke/transport/peer_server.h
+++ b/include/fescuedyke/transport/peer_server.h
@@ -27,6 +27,10 @@
         /// Returns whether a request of \p bytes may be buffered; otherwise the request is refused
         /// before its body is read.
         std::function<bool(std::uint64_t bytes)> may_accept;
+        /// Returns whether a request to \p path is pointless without its sender, so that it is not
+        /// passed on if its cancellation or the end of its connection arrived with it. Optional; by
+        /// default no request is.
+        std::function<bool(const std::string& path)> needs_caller = nullptr;
     };
 
     peer_server(event_loop& loop, handlers callbacks);
--- a/lib/daemon/traffic_runtime.cpp
+++ b/lib/daemon/traffic_runtime.cpp
@@ -55,7 +55,8 @@
                          const auto& admission = core_.inbound().admission();
                          const std::uint64_t held = admission ? admission->bytes_held() : 0;
                          return held + bytes <= settings_.memory_bytes;
-                     }}),
+                     },
+                     [](const std::string& path) { return path == call_path; }}),
       target_(loop), metrics_(metrics),
       decision_log_({},
                     [](const std::string& event, const nlohmann::json& details) {
--- a/lib/transport/h2_connection.cpp
+++ b/lib/transport/h2_connection.cpp
@@ -28,6 +28,12 @@
 /// Maximum number of reads before other work of the event loop is done.
 constexpr int max_reads_per_event = 2;
 
+/// Maximum number of reads after which received requests are passed on although more bytes have
+/// arrived. Together they read as much as the receive buffer of a socket holds at most by default.
+constexpr int max_reads_before_delivery = 96;
+
+constexpr std::uint32_t read_events = EPOLLIN | EPOLLRDHUP;
+
 /// No more bytes are taken from the nghttp2 session while this many bytes or more are unsent.
 constexpr std::size_t max_output_bytes = 256U << 10U;
 
@@ -84,7 +90,8 @@
 {
     set_socket_options(fd, peer_ack_timeout);
     make_session();
-    loop_.watch(fd_, EPOLLIN | EPOLLOUT, [this](std::uint32_t ready) { on_socket_ready(ready); });
+    loop_.watch(fd_, read_events | EPOLLOUT,
+                [this](std::uint32_t ready) { on_socket_ready(ready); });
 }
 
 h2_connection::~h2_connection()
@@ -292,19 +299,52 @@
         s.incoming_body->finish();
         return;
     }
-    if (!s.delivered) {
+    if (!s.complete) {
         deliver(stream, s, {std::move(s.received)});
     }
 }
 
 void h2_connection::deliver(std::int32_t stream, stream_state& state, h2_message message)
 {
-    state.delivered = true;
+    state.complete = true;
     if (role_ == role::server) {
-        events_.on_request(stream, state.path, std::move(message));
+        state.waiting = std::move(message);
+        received_requests_.push_back(stream);
+        return;
     }
-    else {
-        events_.on_response(stream, std::move(message));
+    state.delivered = true;
+    events_.on_response(stream, std::move(message));
+}
+
+void h2_connection::deliver_requests()
+{
+    reads_before_delivery_ = 0;
+    while (!received_requests_.empty() && !closed_) {
+        const std::int32_t stream = received_requests_.front();
+        received_requests_.pop_front();
+        const auto found = streams_.find(stream);
+        if (found != streams_.end()) {
+            deliver_request(stream, found->second);
+        }
+    }
+}
+
+void h2_connection::deliver_request(std::int32_t stream, stream_state& state)
+{
+    if (state.waiting) {
+        state.delivered = true;
+        const h2_message message = std::move(*std::exchange(state.waiting, std::nullopt));
+        events_.on_request(stream, state.path, message);
+    }
+}
+
+void h2_connection::end_request(std::int32_t stream, stream_state& state, bool cancelled)
+{
+    if (!events_.needs_caller(state.path)) {
+        deliver_request(stream, state);
+    }
+    if (state.delivered && cancelled) {
+        events_.on_request_cancelled(stream);
     }
 }
 
@@ -317,13 +357,10 @@
     if (found == c.streams_.end()) {
         return 0;
     }
-    const stream_state state = std::move(found->second);
+    stream_state state = std::move(found->second);
     c.streams_.erase(found);
     if (c.role_ == role::server) {
-        const bool cancelled = state.delivered && error_code != NGHTTP2_NO_ERROR;
-        if (cancelled) {
-            c.events_.on_request_cancelled(stream);
-        }
+        c.end_request(stream, state, error_code != NGHTTP2_NO_ERROR);
         return 0;
     }
     if (!state.delivered) {
@@ -342,6 +379,7 @@
         return;
     }
     connected_ = true;
+    peer_gone_ = peer_gone_ || (events & (EPOLLERR | EPOLLHUP | EPOLLRDHUP)) != 0;
     if ((events & EPOLLIN) != 0 && !read_socket()) {
         close();
         return;
@@ -353,24 +391,48 @@
 {
     std::vector<std::uint8_t> buffer(read_buffer_bytes);
     // The loop reports the rest again after the events of other sockets.
-    for (int i = 0; i < max_reads_per_event; ++i) {
+    bool all_read = false;
+    for (int i = 0; i < max_reads_per_event && !all_read; ++i) {
         const ssize_t got = ::recv(fd_, buffer.data(), buffer.size(), 0);
-        if (got < 0) {
-            return errno == EAGAIN || errno == EINTR;
-        }
-        if (got == 0) {
+        if (got == 0 || (got < 0 && errno != EAGAIN && errno != EINTR)) {
             return false;
         }
+        all_read = got < static_cast<ssize_t>(buffer.size());
+        if (got < 0) {
+            break;
+        }
         last_received_ = loop_.now().now;
+        ++reads_before_delivery_;
         const auto count = static_cast<std::size_t>(got);
         if (nghttp2_session_mem_recv(session_, buffer.data(), count) < 0) {
             return false;
         }
-        if (count < buffer.size()) {
-            break;
-        }
     }
-    return true;
+    if (!all_read && reads_before_delivery_ < max_reads_before_delivery) {
+        schedule_read();
+        return true;
+    }
+    // Nobody waits for the requests of a peer that is gone; its remaining frames are read.
+    if (!peer_gone_) {
+        deliver_requests();
+    }
+    return !closed_;
+}
+
+void h2_connection::schedule_read()
+{
+    if (received_requests_.empty() || std::exchange(read_scheduled_, true)) {
+        return;
+    }
+    loop_.post([this, alive = alive_] {
+        if (!*alive) {
+            return;
+        }
+        read_scheduled_ = false;
+        if (!closed_ && !read_socket()) {
+            close();
+        }
+    });
 }
 
 bool h2_connection::write_socket()
@@ -423,7 +485,7 @@
     const bool needs_write = !output_.empty();
     if (needs_write != write_watched_) {
         write_watched_ = needs_write;
-        loop_.update_watch(fd_, needs_write ? EPOLLIN | EPOLLOUT : EPOLLIN);
+        loop_.update_watch(fd_, needs_write ? read_events | EPOLLOUT : read_events);
     }
 }
 
@@ -460,11 +522,9 @@
 {
     std::map<std::int32_t, stream_state> open;
     open.swap(streams_);
-    for (const auto& [stream, state] : open) {
+    for (auto& [stream, state] : open) {
         if (role_ == role::server) {
-            if (state.delivered) {
-                events_.on_request_cancelled(stream);
-            }
+            end_request(stream, state, true);
             continue;
         }
         if (!state.delivered) {
--- a/lib/transport/peer_client.cpp
+++ b/lib/transport/peer_client.cpp
@@ -80,6 +80,7 @@
     void on_request(std::int32_t, const std::string&, h2_message) override {}
     void on_request_cancelled(std::int32_t) override {}
     bool may_accept(std::uint64_t) override { return false; }
+    bool needs_caller(const std::string&) override { return true; }
     void on_closed() override {}
 
     void on_response(std::int32_t stream, h2_message message) override
--- a/lib/transport/peer_server.cpp
+++ b/lib/transport/peer_server.cpp
@@ -42,6 +42,10 @@
     void on_failure(std::int32_t, stream_failure) override {}
     void on_closed() override { server_.remove_session(id_); }
     bool may_accept(std::uint64_t bytes) override { return server_.handlers_.may_accept(bytes); }
+    bool needs_caller(const std::string& path) override
+    {
+        return server_.handlers_.needs_caller && server_.handlers_.needs_caller(path);
+    }
 
     void remove_stream(std::int32_t stream) { id_by_stream_.erase(stream); }
 
--- a/unittests/transport/caller_gone_test.cpp
+++ b/unittests/transport/caller_gone_test.cpp
@@ -100,9 +100,11 @@
         }
     }
 
-    peer_request_id send(const std::string& body)
+    static constexpr const char* call_path = "/call";
+
+    peer_request_id send(const std::string& body, const std::string& path = call_path)
     {
-        return client_->send(address_, "/x", {body, nullptr}, [](const peer_result&) {});
+        return client_->send(address_, path, {body, nullptr}, [](const peer_result&) {});
     }
 
     /// Opens the connection with a request that stays open.
@@ -128,7 +130,8 @@
                              received_.push_back(m.bytes.substr(0, max_compared_bytes));
                          },
                          [this](peer_stream_id) { ++cancelled_; },
-                         [](std::uint64_t) { return true; }}};
+                         [](std::uint64_t) { return true; },
+                         [](const std::string& path) { return path == call_path; }}};
 
 private:
     static constexpr std::size_t max_compared_bytes = 16;
@@ -155,6 +158,14 @@
     constexpr std::size_t request_bytes = 40U << 10U;
     constexpr int request_count = 8;
     connect();
+    // The receive buffer grows with the bytes that are read.
+    constexpr std::size_t warm_up_count = 100;
+    for (std::size_t i = 0; i < warm_up_count; ++i) {
+        send("warm" + std::string(request_bytes, 'x'));
+        turn_both(10);
+    }
+    ASSERT_EQ(received_.size(), 1U + warm_up_count);
+    received_.clear();
     const peer_request_id second = send("second");
     for (int i = 0; i < request_count; ++i) {
         send("more" + std::string(request_bytes, 'x'));
@@ -163,7 +174,7 @@
     client_->cancel(second);
     turn_client(10);
     turn_both(50);
-    EXPECT_EQ(received_.size(), 1U + request_count);
+    EXPECT_EQ(received_.size(), std::size_t{request_count});
     EXPECT_EQ(std::count(received_.begin(), received_.end(), "second"), 0);
 }
 
@@ -179,5 +190,20 @@
     EXPECT_EQ(cancelled_, 1U);
 }
 
+// Guards against records and control messages that are lost with the process that sent them.
+TEST_F(peer_gone, a_message_that_needs_no_caller_is_passed_on_after_its_sender_left)
+{
+    connect();
+    client_->cancel(send("cancelled", "/message"));
+    send("last", "/message");
+    const peer_request_id second = send("second", "/message");
+    turn_client(5);
+    client_->cancel(second);
+    turn_client(5);
+    client_.reset();
+    turn_both(10);
+    EXPECT_EQ(received_, (std::vector<std::string>{"first", "second", "last"}));
+}
+
 } // namespace
 } // namespace fescuedyke
