Execute the actions of the node core in the order of its decisions

Cause: an action can lead to a further event, for example if the response to one caller finds its connection reset. The actions of that event were executed at once, before the remaining ones of the first event. The cancellation of a call thus overtook its dispatch; the call was then dispatched, and nothing cancelled it any more.

Change: all actions go through one queue and are executed in the order in which they were decided.

Measured: cancellation_order.a_cancelled_call_is_not_dispatched_after_its_cancellation failed before and passes; the tests of transport, daemon, node and platform pass.

--- a/include/fescuedyke/daemon/traffic_runtime.h
+++ b/include/fescuedyke/daemon/traffic_runtime.h
@@ -17,6 +17,7 @@
 
 #include <nlohmann/json_fwd.hpp>
 
+#include <deque>
 #include <functional>
 #include <map>
 #include <memory>
@@ -83,7 +84,8 @@
     const node_core& core() const { return core_; }
 
 private:
-    void execute(const node_actions& actions);
+    /// Executes the actions in order, after those that are still to be executed.
+    void execute(node_actions actions);
     void execute(const answer_caller& action);
     void execute(const send_call& action);
     void execute(const cancel_call& action);
@@ -121,6 +123,9 @@
     target_client target_;
     endpoint target_address_;
     target_announced last_announcement_;
+    std::deque<node_action> pending_actions_;
+    /// Whether execute() runs.
+    bool executing_ = false;
     /// Requests to other nodes without a reply yet, by call and attempt number.
     std::map<std::pair<call_id, int>, peer_request_id> open_attempts_;
     node_record record_;
--- a/lib/daemon/traffic_runtime.cpp
+++ b/lib/daemon/traffic_runtime.cpp
@@ -9,6 +9,8 @@
 
 #include <nlohmann/json.hpp>
 
+#include <algorithm>
+#include <iterator>
 #include <utility>
 
 namespace fescuedyke {
@@ -87,6 +89,22 @@
     execute(core_.handle(event, at));
 }
 
+void traffic_runtime::execute(node_actions actions)
+{
+    // An action may lead to further events, for example if a write fails. Their actions follow
+    // those decided before: a cancellation must not overtake the call that it cancels.
+    std::move(actions.begin(), actions.end(), std::back_inserter(pending_actions_));
+    if (std::exchange(executing_, true)) {
+        return;
+    }
+    while (!pending_actions_.empty()) {
+        const node_action action = std::move(pending_actions_.front());
+        pending_actions_.pop_front();
+        std::visit([this](const auto& a) { execute(a); }, action);
+    }
+    executing_ = false;
+}
+
 void traffic_runtime::record_times(const node_event& event, instant now)
 {
     if (const auto* request = std::get_if<caller_request>(&event)) {
@@ -413,13 +431,6 @@
     }
 }
 
-void traffic_runtime::execute(const node_actions& actions)
-{
-    for (const node_action& action : actions) {
-        std::visit([this](const auto& a) { execute(a); }, action);
-    }
-}
-
 void traffic_runtime::execute(const answer_caller& action)
 {
     const auto found = open_requests_.find(action.exchange);
