Log the limits and departures that targets state in their responses

Cause: nothing reads the two headers, so that neither the moment at which a node learned a limit nor its value is known.

Change: the dialects decode them into target_notice, with a rate of calls as a strong type; target-limit, -ended, -malformed and target-leaving are logged on a change. No decision uses them yet.

--- a/include/fescuedyke/call/message.h
+++ b/include/fescuedyke/call/message.h
@@ -70,6 +70,10 @@
 /// Returns whether a header concerns a single connection and is therefore not forwarded.
 bool is_hop_by_hop_header(const std::string& name);
 
+/// Returns \p headers without the hop-by-hop headers, which include those that a Connection header
+/// names.
+std::vector<header> end_to_end_headers(const std::vector<header>& headers);
+
 } // namespace fescuedyke
 
 #endif
--- a/include/fescuedyke/daemon/http_dialect.h
+++ b/include/fescuedyke/daemon/http_dialect.h
@@ -27,6 +27,9 @@
 
     /// Returns whether \p response states that the target did not run the call.
     virtual bool reports_not_run(const http_response& response) const = 0;
+
+    /// Returns what the target states about itself in \p response.
+    virtual target_notice notice_of(const http_response& response) const = 0;
 };
 
 /// Uses the headers of this project, which docs/CALLERS.md describes.
@@ -36,6 +39,7 @@
     target_request to_target(const dispatch_call& call) const override;
     std::string request_id(const http_request& request) const override;
     bool reports_not_run(const http_response& response) const override;
+    target_notice notice_of(const http_response& response) const override;
 };
 
 } // namespace fescuedyke
--- a/include/fescuedyke/daemon/traffic_runtime.h
+++ b/include/fescuedyke/daemon/traffic_runtime.h
@@ -110,6 +110,8 @@
     void log_caller_answer(const answer_caller& action);
     void log_malformed_reply(const endpoint& peer, const absl::Status& error);
     void log_reply(const reply_call& action);
+    /// Logs changes of what the target states about itself.
+    void log_notice(const target_notice& notice);
     bool should_log(const std::string& id, decision_kind kind);
 
     node_settings settings_;
@@ -123,6 +125,7 @@
     target_client target_;
     endpoint target_address_;
     target_announced last_announcement_;
+    target_notice last_notice_;
     std::deque<node_action> pending_actions_;
     /// Whether execute() runs.
     bool executing_ = false;
--- a/include/fescuedyke/node/events.h
+++ b/include/fescuedyke/node/events.h
@@ -3,6 +3,7 @@
 
 #include "fescuedyke/admission/admission_queue.h"
 #include "fescuedyke/call/context.h"
+#include "fescuedyke/call/target_notice.h"
 #include "fescuedyke/once/ownership.h"
 #include "fescuedyke/once/run_registry.h"
 #include "fescuedyke/policy/policy.h"
@@ -87,6 +88,8 @@
     http_response response;
     /// The target stated that it did not execute the call.
     bool not_run = false;
+    /// What the target states about itself.
+    target_notice notice{};
 };
 
 /// Reason why the target gave no response.
--- a/lib/call/call.cpp
+++ b/lib/call/call.cpp
@@ -1,7 +1,9 @@
 #include "fescuedyke/call/context.h"
 #include "fescuedyke/support/hash.h"
 
+#include <absl/strings/ascii.h>
 #include <absl/strings/match.h>
+#include <absl/strings/str_split.h>
 
 #include <algorithm>
 #include <array>
@@ -76,6 +78,29 @@
                        [&](const char* h) { return absl::EqualsIgnoreCase(name, h); });
 }
 
+std::vector<header> end_to_end_headers(const std::vector<header>& headers)
+{
+    std::vector<std::string> options;
+    for (const header& h : headers) {
+        if (!absl::EqualsIgnoreCase(h.name, "connection")) {
+            continue;
+        }
+        for (const auto part : absl::StrSplit(h.value, ',')) {
+            options.emplace_back(absl::StripAsciiWhitespace(part));
+        }
+    }
+    std::vector<header> result;
+    for (const header& h : headers) {
+        const bool is_option =
+            std::any_of(options.begin(), options.end(),
+                        [&](const std::string& o) { return absl::EqualsIgnoreCase(o, h.name); });
+        if (!is_option && !is_hop_by_hop_header(h.name)) {
+            result.push_back(h);
+        }
+    }
+    return result;
+}
+
 const std::string* find_header(const std::vector<header>& headers, const std::string& name)
 {
     for (const header& h : headers) {
--- a/lib/daemon/outcome_http.cpp
+++ b/lib/daemon/outcome_http.cpp
@@ -97,4 +97,9 @@
     return fescuedyke::reports_not_run(response);
 }
 
+target_notice native_dialect::notice_of(const http_response& response) const
+{
+    return read_notice(response, rate_limit_header, leaving_header);
+}
+
 } // namespace fescuedyke
--- a/lib/daemon/traffic_runtime.cpp
+++ b/lib/daemon/traffic_runtime.cpp
@@ -413,6 +413,30 @@
     }
 }
 
+void traffic_runtime::log_notice(const target_notice& notice)
+{
+    if (notice.rate_limit_malformed && should_log("", decision_kind::abnormal)) {
+        decision_log_.write("target-limit-malformed", "",
+                            {{"target", last_announcement_.identity}});
+    }
+    const bool limit_changed =
+        notice.rate_limit != last_notice_.rate_limit && !notice.rate_limit_malformed;
+    if (limit_changed && should_log("", decision_kind::abnormal)) {
+        nlohmann::json details = {{"target", last_announcement_.identity}};
+        if (notice.rate_limit) {
+            details["per_second"] = calls_per_second(*notice.rate_limit);
+        }
+        decision_log_.write(notice.rate_limit ? "target-limit" : "target-limit-ended", "", details);
+    }
+    if (notice.leaving && !last_notice_.leaving && should_log("", decision_kind::abnormal)) {
+        decision_log_.write("target-leaving", "", {{"target", last_announcement_.identity}});
+    }
+    last_notice_.leaving = notice.leaving;
+    if (!notice.rate_limit_malformed) {
+        last_notice_.rate_limit = notice.rate_limit;
+    }
+}
+
 void traffic_runtime::log_reply(const reply_call& action)
 {
     const auto found = peer_request_ids_.find(std::get<exchange_id>(action.to));
@@ -495,7 +519,9 @@
     target_.send(call.value(), request, [this, call](target_result result) {
         if (auto* response = std::get_if<http_response>(&result)) {
             const bool not_run = dialect_.reports_not_run(*response);
-            handle(target_answered{call, std::move(*response), not_run});
+            const target_notice notice = dialect_.notice_of(*response);
+            log_notice(notice);
+            handle(target_answered{call, std::move(*response), not_run, notice});
             return;
         }
         handle(target_failed{call, std::get<target_failure>(result)});
--- a/lib/node/caller_headers.cpp
+++ b/lib/node/caller_headers.cpp
@@ -2,6 +2,7 @@
 
 #include "fescuedyke/policy/policy.h"
 
+#include <absl/strings/ascii.h>
 #include <absl/strings/match.h>
 
 #include <algorithm>
@@ -143,6 +144,27 @@
     return result;
 }
 
+target_notice read_notice(const http_response& response, const char* rate_limit_name,
+                          const char* leaving_name)
+{
+    target_notice notice;
+    for (const header& h : response.headers) {
+        if (absl::EqualsIgnoreCase(h.name, leaving_name)) {
+            notice.leaving = notice.leaving || absl::StripAsciiWhitespace(h.value) == "1";
+        }
+        if (!absl::EqualsIgnoreCase(h.name, rate_limit_name)) {
+            continue;
+        }
+        const std::optional<call_rate> rate = parse_call_rate(h.value);
+        if (!rate) {
+            notice.rate_limit_malformed = true;
+            continue;
+        }
+        notice.rate_limit = std::min(notice.rate_limit.value_or(*rate), *rate);
+    }
+    return notice;
+}
+
 bool reports_not_run(const http_response& response)
 {
     constexpr int unavailable_status = 503;
