Keep the rate limit that a target states in its responses

Cause: no process read the header; a limited target got the same share of the calls as before.

Calls wait for their turn in the order of their rank for at most 250 ms; others are refused as not run, so that targets with room serve them, and the expected wait is reported to the nodes that choose. A limit that falls applies at once; one that rises or ends only if the response is to a call dispatched after the limit was learned, since responses arrive in any order. Preemption, expiry and the queue go through the same limit.

--- a/include/fescuedyke/admission/admission_queue.h
+++ b/include/fescuedyke/admission/admission_queue.h
@@ -3,6 +3,7 @@
 
 #include "fescuedyke/admission/concurrency_limit.h"
 #include "fescuedyke/admission/level.h"
+#include "fescuedyke/admission/rate_limiter.h"
 #include "fescuedyke/admission/saturation_limit.h"
 #include "fescuedyke/call/context.h"
 #include "fescuedyke/call/outcome.h"
@@ -97,6 +98,10 @@
     /// warm-up.
     void set_warm_up_share(double share);
 
+    /// Limits the rate of the dispatched calls, whatever their number; no value ends the limit.
+    void set_rate_limit(std::optional<call_rate> rate, instant now) { rate_.set_rate(rate, now); }
+    const std::optional<call_rate>& rate_limit() const { return rate_.rate(); }
+
     load_report report(instant now) const;
 
     int running() const { return static_cast<int>(running_.size()); }
@@ -116,14 +121,14 @@
 
     /// Returns whether \p entry, whose deadline is relative to the present, cannot be answered in
     /// time with \p ahead calls queued before it.
-    bool cannot_meet_deadline(const admission_entry& entry, std::size_t ahead) const;
+    bool cannot_meet_deadline(const admission_entry& entry, std::size_t ahead, instant now) const;
     /// Returns the maximum number of queued calls.
     std::size_t queue_capacity() const;
     std::size_t position_of(rank priority_rank) const;
     std::optional<inbound_id> find_preemptible(rank priority_rank) const;
-    bool preempt_for(const admission_entry& entry, admission_result& result);
+    bool preempt_for(const admission_entry& entry, instant now, admission_result& result);
     void enqueue(const admission_entry& entry);
-    void dispatch(const admission_entry& entry, admission_result& result);
+    void dispatch(const admission_entry& entry, instant now, admission_result& result);
     void dispatch_queued(instant now, admission_result& result);
     void shed(const admission_entry& entry, outcome_reason reason, admission_result& result);
     void remove_running(inbound_id id);
@@ -131,6 +136,7 @@
     admission_settings settings_;
     concurrency_limit limit_;
     saturation_limit saturation_limit_;
+    rate_limiter rate_;
     level_tracker level_;
     double warm_up_share_ = 1.0;
     std::uint64_t next_arrival_ = 0;
--- a/include/fescuedyke/node/inbound_calls.h
+++ b/include/fescuedyke/node/inbound_calls.h
@@ -105,6 +105,8 @@
     void refuse_queued_calls(outcome_reason reason, instant now);
     void abandon(inbound_call& call, outcome_reason reason, instant now);
     void time_out(inbound_call& call, instant now);
+    /// Applies what the target stated in the response to \p call.
+    void on_notice(const target_notice& notice, const inbound_call& call, instant now);
     load_report report_load(const inbound_call& call, instant now) const;
     void update_warm_up(instant now);
 
@@ -125,6 +127,8 @@
     /// When the calls that still wait for a draining target are refused.
     std::optional<instant> queue_closes_at_;
     instant announced_at_;
+    /// When the rate limit in force was learned.
+    instant rate_limit_learned_at_;
     instant lease_until_;
     millis warm_up_;
     std::uint64_t next_id_;
--- a/lib/admission/admission_queue.cpp
+++ b/lib/admission/admission_queue.cpp
@@ -15,6 +15,9 @@
 /// preempted for it. Must exceed the interval between calls of expire().
 constexpr millis preemption_margin{25};
 
+/// Maximum time for which a call is queued because of the rate limit. Other targets may have room.
+constexpr millis max_rate_wait{250};
+
 } // namespace
 
 admission_queue::admission_queue(const admission_settings& settings)
@@ -32,14 +35,18 @@
 
 std::size_t admission_queue::queue_capacity() const
 {
-    return std::max(min_queue_capacity, static_cast<std::size_t>(effective_limit()));
+    const auto by_slots = std::max(min_queue_capacity, static_cast<std::size_t>(effective_limit()));
+    return std::min(by_slots, rate_.calls_in(max_rate_wait).value_or(by_slots));
 }
 
-bool admission_queue::cannot_meet_deadline(const admission_entry& entry, std::size_t ahead) const
+bool admission_queue::cannot_meet_deadline(const admission_entry& entry, std::size_t ahead,
+                                           instant now) const
 {
     const double rounds = static_cast<double>(ahead) / effective_limit();
     const bool must_wait = running() >= effective_limit();
-    const double wait = must_wait ? (rounds + 0.5) * limit_.service_time() : 0.0;
+    const double slot_wait = must_wait ? (rounds + 0.5) * limit_.service_time() : 0.0;
+    const auto rate_wait = static_cast<double>(rate_.time_until(ahead, now).count());
+    const double wait = std::max(slot_wait, rate_wait);
     return wait + limit_.min_service_time() > static_cast<double>(entry.deadline.since_origin());
 }
 
@@ -65,10 +72,12 @@
                                       : std::optional<inbound_id>(lowest_priority->id);
 }
 
-bool admission_queue::preempt_for(const admission_entry& entry, admission_result& result)
+bool admission_queue::preempt_for(const admission_entry& entry, instant now,
+                                  admission_result& result)
 {
-    const std::optional<inbound_id> victim =
-        settings_.preemption ? find_preemptible(entry.priority_rank) : std::nullopt;
+    const std::optional<inbound_id> victim = settings_.preemption && rate_.admits(now)
+                                                 ? find_preemptible(entry.priority_rank)
+                                                 : std::nullopt;
     if (!victim) {
         return false;
     }
@@ -85,8 +94,9 @@
     bytes_held_ += entry.bytes;
 }
 
-void admission_queue::dispatch(const admission_entry& entry, admission_result& result)
+void admission_queue::dispatch(const admission_entry& entry, instant now, admission_result& result)
 {
+    rate_.on_dispatched(now);
     running_.emplace(entry.id, running_call{entry, running() + 1});
     bytes_held_ += entry.bytes;
     result.dispatched.push_back(entry.id);
@@ -107,15 +117,24 @@
     }
     admission_entry relative = entry;
     relative.deadline = instant((entry.deadline - now).count());
-    const bool has_free_slot = running() < effective_limit() && queue_.empty();
-    if (has_free_slot && !cannot_meet_deadline(relative, 0)) {
-        dispatch(entry, result);
+    const bool has_free_slot = running() < effective_limit() && queue_.empty() && rate_.admits(now);
+    if (has_free_slot && !cannot_meet_deadline(relative, 0, now)) {
+        dispatch(entry, now, result);
+        return result;
+    }
+    const std::size_t position = position_of(entry.priority_rank);
+    if (rate_.time_until(position, now) > max_rate_wait) {
+        if (!queue_.empty()) {
+            level_.on_shed(now, std::prev(queue_.end())->first.first);
+        }
+        shed(entry, outcome_reason::overloaded, result);
         return result;
     }
-    if (cannot_meet_deadline(relative, position_of(entry.priority_rank))) {
+    if (cannot_meet_deadline(relative, position, now)) {
         const auto time_left = static_cast<double>(relative.deadline.since_origin());
-        if (!has_free_slot && time_left > limit_.min_service_time() && preempt_for(entry, result)) {
-            dispatch(entry, result);
+        if (!has_free_slot && time_left > limit_.min_service_time() &&
+            preempt_for(entry, now, result)) {
+            dispatch(entry, now, result);
             return result;
         }
         level_.on_shed(now, rank::from_value(std::int64_t{entry.priority_rank.value()} - 1));
@@ -128,7 +147,7 @@
     }
     const auto tail = std::prev(queue_.end());
     if (entry.priority_rank >= tail->first.first) {
-        if (preempt_for(entry, result)) {
+        if (preempt_for(entry, now, result)) {
             enqueue(entry);
             dispatch_queued(now, result);
             return result;
@@ -142,7 +161,7 @@
     assert(was_queued && "the last queue entry must have a queued id");
     (void)was_queued;
     enqueue(entry);
-    if (preempt_for(evicted, result)) {
+    if (preempt_for(evicted, now, result)) {
         enqueue(evicted);
         dispatch_queued(now, result);
         return result;
@@ -164,7 +183,7 @@
 
 void admission_queue::dispatch_queued(instant now, admission_result& result)
 {
-    while (!queue_.empty() && running() < effective_limit()) {
+    while (!queue_.empty() && running() < effective_limit() && rate_.admits(now)) {
         const admission_entry entry = queue_.begin()->second;
         remove_queued(entry.id);
         const double time_left = static_cast<double>((entry.deadline - now).count());
@@ -172,7 +191,7 @@
             shed(entry, outcome_reason::doomed, result);
             continue;
         }
-        dispatch(entry, result);
+        dispatch(entry, now, result);
     }
 }
 
@@ -235,9 +254,9 @@
         }
     }
     for (const admission_entry& entry : at_risk) {
-        if (preempt_for(entry, result)) {
+        if (preempt_for(entry, now, result)) {
             remove_queued(entry.id);
-            dispatch(entry, result);
+            dispatch(entry, now, result);
         }
     }
     for (const inbound_id id : expired) {
@@ -272,7 +291,8 @@
     const double expected = limit_.service_time() * (1.0 + rounds);
     report.expected_time = millis(static_cast<std::int64_t>(expected));
     const double wait = running() < effective_limit() ? 0.0 : limit_.service_time() * rounds;
-    report.queue_time = millis(static_cast<std::int64_t>(wait));
+    const millis rate_wait = rate_.time_until(queue_.size(), now);
+    report.queue_time = std::max(millis(static_cast<std::int64_t>(wait)), rate_wait);
     return report;
 }
 
--- a/lib/node/inbound_calls.cpp
+++ b/lib/node/inbound_calls.cpp
@@ -208,9 +208,11 @@
         target_incarnation_ = event.target_incarnation;
         announced_at_ = at.now;
     }
-    if (target_incarnation_ != event.target_incarnation) {
+    if (target_incarnation_ != event.target_incarnation || identity_ != event.identity) {
         target_incarnation_ = event.target_incarnation;
         announced_at_ = at.now;
+        // A target that started again has stated nothing.
+        admission_->set_rate_limit(std::nullopt, at.now);
     }
     identity_ = event.identity;
     warm_up_ = event.warm_up;
--- a/lib/node/inbound_end.cpp
+++ b/lib/node/inbound_end.cpp
@@ -191,6 +191,7 @@
     if (found == calls_.end() || found->second.current_stage != inbound_call::stage::running) {
         return;
     }
+    on_notice(event.notice, found->second, at.now);
     const bool shed = event.not_run;
     const millis service_time = at.now - found->second.dispatched_at;
     const admission_result next = shed ? admission_->finish_refused(event.call, at.now)
@@ -207,6 +208,23 @@
     apply(next, at.now);
 }
 
+void inbound_calls::on_notice(const target_notice& notice, const inbound_call& call, instant now)
+{
+    const bool of_earlier_start = call.dispatched_at < announced_at_;
+    if (of_earlier_start || (notice.rate_limit_malformed && !notice.rate_limit)) {
+        return;
+    }
+    const std::optional<call_rate> current = admission_->rate_limit();
+    // Responses may arrive in another order than the target sent them. One to a call that was
+    // dispatched after the limit was learned is later than the limit.
+    const bool relaxes = current && (!notice.rate_limit || *notice.rate_limit > *current);
+    if (notice.rate_limit == current || (relaxes && call.dispatched_at <= rate_limit_learned_at_)) {
+        return;
+    }
+    rate_limit_learned_at_ = now;
+    admission_->set_rate_limit(notice.rate_limit, now);
+}
+
 void inbound_calls::on_failed(const target_failed& event, moment at)
 {
     const auto found = calls_.find(event.call);
