Remember the rate limit of a target beyond a restart of its node

Cause: the node beside a target forgot the limit with its restart, and dispatched calls without one until the target answered: 122 calls in 4 s where 65 are allowed.

Change: replies carry the limit, the nodes that call the target remember it by the start of the target (target_memory), and send it with their calls. A node whose target has not answered yet adopts the lowest one. Records of nodes carry the start of their target, so that a target which starts again under its identity has no limit.

--- a/include/fescuedyke/call/context.h
+++ b/include/fescuedyke/call/context.h
@@ -5,9 +5,11 @@
 #include "fescuedyke/call/outcome.h"
 #include "fescuedyke/call/rank.h"
 #include "fescuedyke/policy/labels.h"
+#include "fescuedyke/support/call_rate.h"
 #include "fescuedyke/support/ids.h"
 #include "fescuedyke/support/time.h"
 
+#include <optional>
 #include <string>
 
 /// \file
@@ -43,6 +45,8 @@
     int client_attempt = 0;
     /// Identity of the only target process that may serve the call; empty if any may.
     std::string target_identity;
+    /// Rate limit that the sender knows of this target process.
+    std::optional<call_rate> target_rate_limit;
     label_set labels;
 };
 
@@ -71,6 +75,8 @@
     millis queue_time;
     /// Time from the arrival of the call to the reply.
     millis time_at_node;
+    /// Rate limit that the target has stated.
+    std::optional<call_rate> rate_limit;
 };
 
 /// The receiving node's reply to one attempt.
--- a/include/fescuedyke/codec/common_fields.h
+++ b/include/fescuedyke/codec/common_fields.h
@@ -62,13 +62,13 @@
 template <class A> void fields(A& a, load_report& x)
 {
     a(x.level, x.chain_level, x.in_progress, x.limit, x.hops_below, x.expected_time, x.flow_time,
-      x.flow_deviation, x.queue_time, x.time_at_node);
+      x.flow_deviation, x.queue_time, x.time_at_node, x.rate_limit);
 }
 template <class A> void fields(A& a, call_context& x)
 {
     a(x.call, x.root, x.flow, x.origin, x.service, x.priority_rank, x.attempt, x.depth, x.time_left,
       x.sent, x.lent_retries, x.idempotent, x.keyless, x.key, x.client_attempt, x.target_identity,
-      x.labels);
+      x.target_rate_limit, x.labels);
 }
 template <class A> void fields(A& a, endpoint& x)
 {
@@ -80,7 +80,7 @@
 }
 template <class A> void fields(A& a, target_announcement& x)
 {
-    a(x.service, x.identity, x.labels, x.slots, x.state);
+    a(x.service, x.identity, x.target_incarnation, x.labels, x.slots, x.state);
 }
 template <class A> void fields(A& a, node_record& x)
 {
--- a/include/fescuedyke/membership/node_record.h
+++ b/include/fescuedyke/membership/node_record.h
@@ -19,13 +19,16 @@
     service_name service;
     /// Identifies this process start of the target; empty if the target did not provide it.
     std::string identity;
+    /// Distinguishes the starts of the target that have the same identity.
+    std::uint64_t target_incarnation = 0;
     label_set labels;
     int slots = 0;
     target_state state = target_state::ready;
 
     friend bool operator==(const target_announcement& a, const target_announcement& b)
     {
-        return a.service == b.service && a.identity == b.identity && a.labels == b.labels &&
+        return a.service == b.service && a.identity == b.identity &&
+               a.target_incarnation == b.target_incarnation && a.labels == b.labels &&
                a.slots == b.slots && a.state == b.state;
     }
 };
--- a/include/fescuedyke/node/inbound_calls.h
+++ b/include/fescuedyke/node/inbound_calls.h
@@ -88,6 +88,8 @@
 
 private:
     bool is_late_or_duplicate(const call_context& context, moment at);
+    /// Adopts the rate limit that the sender of a call knows until the target has answered.
+    void adopt_rate_limit(const call_context& context, instant now);
     std::optional<outcome> check_admissible(const call_context& context, instant now) const;
     void admit(inbound_call& call, instant now);
     void begin_keyed(inbound_call& call, moment at);
@@ -129,6 +131,8 @@
     instant announced_at_;
     /// When the rate limit in force was learned.
     instant rate_limit_learned_at_;
+    /// Whether the target has answered since its start was announced to this process.
+    bool target_has_answered_ = false;
     instant lease_until_;
     millis warm_up_;
     std::uint64_t next_id_;
--- a/include/fescuedyke/routing/target_chooser.h
+++ b/include/fescuedyke/routing/target_chooser.h
@@ -5,6 +5,7 @@
 #include "fescuedyke/routing/flow_levels.h"
 #include "fescuedyke/routing/region_budget.h"
 #include "fescuedyke/routing/response_times.h"
+#include "fescuedyke/routing/target_memory.h"
 #include "fescuedyke/routing/target_view.h"
 #include "fescuedyke/support/random.h"
 #include "fescuedyke/support/time.h"
@@ -134,6 +135,10 @@
     void on_no_reply(const service_name& service, const instance_id& instance, bool failed,
                      instant now);
 
+    /// What this node remembers of the targets that it called.
+    target_memory& memory() { return memory_; }
+    const target_memory& memory() const { return memory_; }
+
     /// Returns the greatest rank that at least one target of \p service and its call chain admit
     /// for \p flow, or rank::max() if no target is known.
     rank chain_level(const service_name& service, flow_id flow, instant now) const;
@@ -197,6 +202,7 @@
     std::map<service_name, std::map<instance_id, target_stats>> stats_;
     flow_levels flow_levels_;
     response_times response_times_;
+    target_memory memory_;
     bool has_view_ = false;
 };
 
--- a/include/fescuedyke/routing/target_view.h
+++ b/include/fescuedyke/routing/target_view.h
@@ -49,6 +49,8 @@
     /// Distinguishes this process of the target from earlier and later ones; empty if not
     /// announced.
     std::string identity;
+    /// Distinguishes the starts of the target that have the same identity.
+    std::uint64_t target_incarnation = 0;
     label_set labels;
     int slots = 0;
     target_state state = target_state::ready;
--- a/lib/admission/admission_queue.cpp
+++ b/lib/admission/admission_queue.cpp
@@ -292,6 +292,7 @@
     report.expected_time = millis(static_cast<std::int64_t>(expected));
     const double wait = running() < effective_limit() ? 0.0 : limit_.service_time() * rounds;
     const millis rate_wait = rate_.time_until(queue_.size(), now);
+    report.rate_limit = rate_.rate();
     report.queue_time = std::max(millis(static_cast<std::int64_t>(wait)), rate_wait);
     return report;
 }
--- a/lib/daemon/traffic_runtime.cpp
+++ b/lib/daemon/traffic_runtime.cpp
@@ -186,8 +186,12 @@
     std::optional<target_announcement> target;
     if (inbound.has_target()) {
         const target_state state = published_ready_ ? target_state::ready : target_state::draining;
-        target = target_announcement{last_announcement_.service, last_announcement_.identity,
-                                     last_announcement_.labels, last_announcement_.slots, state};
+        target = target_announcement{last_announcement_.service,
+                                     last_announcement_.identity,
+                                     last_announcement_.target_incarnation,
+                                     last_announcement_.labels,
+                                     last_announcement_.slots,
+                                     state};
     }
     const incarnation node_incarnation = core_.owned_buckets().self_incarnation();
     const bool same_incarnation =
--- a/lib/membership/view_builder.cpp
+++ b/lib/membership/view_builder.cpp
@@ -14,6 +14,7 @@
     info.service = record.target->service;
     info.owner = record.owner;
     info.identity = record.target->identity;
+    info.target_incarnation = record.target->target_incarnation;
     info.labels = record.target->labels;
     info.slots = record.target->slots;
     info.state = record.target->state;
--- a/lib/node/inbound_calls.cpp
+++ b/lib/node/inbound_calls.cpp
@@ -112,6 +112,7 @@
         end(id, *refusal, {}, at.now);
         return;
     }
+    adopt_rate_limit(context, at.now);
     if (!context.idempotent && !context.keyless) {
         begin_keyed(call, at);
         return;
@@ -119,6 +120,17 @@
     admit(call, at.now);
 }
 
+void inbound_calls::adopt_rate_limit(const call_context& context, instant now)
+{
+    const std::optional<call_rate> current = admission_->rate_limit();
+    const bool lower =
+        context.target_rate_limit && (!current || *context.target_rate_limit < *current);
+    if (!target_has_answered_ && lower && context.target_identity == identity_) {
+        rate_limit_learned_at_ = now;
+        admission_->set_rate_limit(context.target_rate_limit, now);
+    }
+}
+
 void inbound_calls::begin_keyed(inbound_call& call, moment at)
 {
     const absl::StatusOr<idempotency_key> key = parse_idempotency_key(call.context.key);
@@ -212,6 +224,7 @@
         target_incarnation_ = event.target_incarnation;
         announced_at_ = at.now;
         // A target that started again has stated nothing.
+        target_has_answered_ = false;
         admission_->set_rate_limit(std::nullopt, at.now);
     }
     identity_ = event.identity;
--- a/lib/node/inbound_end.cpp
+++ b/lib/node/inbound_end.cpp
@@ -214,6 +214,7 @@
     if (of_earlier_start || (notice.rate_limit_malformed && !notice.rate_limit)) {
         return;
     }
+    target_has_answered_ = true;
     const std::optional<call_rate> current = admission_->rate_limit();
     // Responses may arrive in another order than the target sent them. One to a call that was
     // dispatched after the limit was learned is later than the limit.
--- a/lib/node/outbound_calls.cpp
+++ b/lib/node/outbound_calls.cpp
@@ -258,6 +258,7 @@
     call.context.sent = at.wall;
     call.context.lent_retries = call.lent;
     call.context.target_identity = call.target.identity;
+    call.context.target_rate_limit = chooser_.memory().rate_limit(call.target);
     chooser_.on_sent(call.context.service, call.target.instance);
     if (call.target.location.region != settings_.location.region) {
         regions_.spend(call.target.location.region, call.request->body_bytes(), now);
@@ -293,6 +294,10 @@
     const std::uint64_t bytes = call->request->body_bytes() + event.reply.response.body_bytes();
     const attempt_times times{call->attempt_sent_at, now};
     chooser_.on_reply(call->target, context.flow, load, times, bytes);
+    // A node that was restarted does not know the limit before its target has answered.
+    if (load.rate_limit || event.reply.result.kind == outcome_kind::answered) {
+        chooser_.memory().on_rate_limit(call->target, load.rate_limit, now);
+    }
     dependencies_.on_reply(context.flow, context.service, load.hops_below, now);
     if (call->target.location.region != settings_.location.region) {
         regions_.spend(call->target.location.region, event.reply.response.body_bytes(), now);
--- a/lib/routing/target_chooser.cpp
+++ b/lib/routing/target_chooser.cpp
@@ -76,6 +76,7 @@
         }
     }
     stats_ = std::move(stats);
+    memory_.on_view(view, now);
     remove_expired(now);
     has_view_ = true;
 }
@@ -84,6 +85,7 @@
 {
     flow_levels_.remove_expired(now);
     response_times_.remove_expired(now);
+    memory_.remove_expired(now);
 }
 
 target_stats* target_chooser::find_stats(const service_name& service, const instance_id& instance)
--- a/unittests/control/control_cluster_test.cpp
+++ b/unittests/control/control_cluster_test.cpp
@@ -255,7 +255,7 @@
     poll.record.instance = instance_id("t1");
     poll.record.node_incarnation = incarnation(1);
     poll.record.sequence = 1;
-    poll.record.target = target_announcement{service_name("s"), "", {}, 4, target_state::ready};
+    poll.record.target = target_announcement{service_name("s"), "", 0, {}, 4, target_state::ready};
     poll.wants_lease = true;
     std::optional<millis> lease;
     c.run_for(millis(500));
--- a/unittests/control/lease_grant_test.cpp
+++ b/unittests/control/lease_grant_test.cpp
@@ -51,7 +51,8 @@
         poll.record.instance = instance_id("t1");
         poll.record.node_incarnation = incarnation(1);
         poll.record.sequence = ++sequence_;
-        poll.record.target = target_announcement{service_name("s"), "", {}, 4, target_state::ready};
+        poll.record.target =
+            target_announcement{service_name("s"), "", 0, {}, 4, target_state::ready};
         poll.wants_lease = true;
         lease_.reset();
         handle(poll_received{request_id(sequence_), poll});
--- a/unittests/membership/lease_table_test.cpp
+++ b/unittests/membership/lease_table_test.cpp
@@ -16,7 +16,7 @@
     r.instance = instance_id(name);
     r.node_incarnation = incarnation(node_incarnation);
     r.sequence = sequence;
-    r.target = target_announcement{service_name("s"), "", {}, 4, state};
+    r.target = target_announcement{service_name("s"), "", 0, {}, 4, state};
     return r;
 }
 
--- a/unittests/node/limited_mesh.cpp
+++ b/unittests/node/limited_mesh.cpp
@@ -68,6 +68,7 @@
         info.location = {region_name("r"), zone_name("a")};
         info.service = service;
         info.identity = t.identity;
+        info.target_incarnation = t.started_at_ms;
         info.slots = t.slots;
         view->services[service].push_back(info);
     }
--- a/unittests/once/at_most_once_test.cpp
+++ b/unittests/once/at_most_once_test.cpp
@@ -74,6 +74,7 @@
         const bool leaving = draining.count(name) != 0;
         r.target = target_announcement{service_name("fees"),
                                        "",
+                                       0,
                                        {},
                                        2,
                                        leaving ? target_state::draining : target_state::ready};
--- a/unittests/subscription/config_subscriber_test.cpp
+++ b/unittests/subscription/config_subscriber_test.cpp
@@ -171,7 +171,8 @@
     node_status status;
     status.live = live;
     status.record.instance = instance_id("t");
-    status.record.target = target_announcement{service_name("s"), "", {}, 1, target_state::ready};
+    status.record.target =
+        target_announcement{service_name("s"), "", 0, {}, 1, target_state::ready};
     reply.view = {1, 0, 2, {status}};
     for (const char* name : {"m1", "m2", "m3"}) {
         member_entry m;
@@ -230,7 +231,8 @@
     node_status status;
     status.live = true;
     status.record.instance = instance_id("t");
-    status.record.target = target_announcement{service_name("s"), "", {}, 1, target_state::ready};
+    status.record.target =
+        target_announcement{service_name("s"), "", 0, {}, 1, target_state::ready};
     reply.view = {1, 0, 2, {status}};
     const auto output = s.on_reply(polls[0].number, reply, start_time);
     ASSERT_NE(find_event<targets_updated>(output), nullptr);
