Send no calls to a target that states that it leaves

Cause: no process read the header. The target got calls until its report arrived, and again after a restart of its node if an earlier report arrived late there.

Change: the node beside the target drains it as for a report, before it replies to the call, and accepts no announcement of the same start any more. Its replies say so, and the nodes that call the target remember it by the start of the target and do not choose it again, also behind another start of its node. A target that starts again is in use.

--- a/include/fescuedyke/call/context.h
+++ b/include/fescuedyke/call/context.h
@@ -77,6 +77,8 @@
     millis time_at_node;
     /// Rate limit that the target has stated.
     std::optional<call_rate> rate_limit;
+    /// Whether the target has stated that it leaves.
+    bool target_leaving = false;
 };
 
 /// The receiving node's reply to one attempt.
--- a/include/fescuedyke/codec/common_fields.h
+++ b/include/fescuedyke/codec/common_fields.h
@@ -62,7 +62,7 @@
 template <class A> void fields(A& a, load_report& x)
 {
     a(x.level, x.chain_level, x.in_progress, x.limit, x.hops_below, x.expected_time, x.flow_time,
-      x.flow_deviation, x.queue_time, x.time_at_node, x.rate_limit);
+      x.flow_deviation, x.queue_time, x.time_at_node, x.rate_limit, x.target_leaving);
 }
 template <class A> void fields(A& a, call_context& x)
 {
--- a/include/fescuedyke/node/inbound_calls.h
+++ b/include/fescuedyke/node/inbound_calls.h
@@ -78,6 +78,10 @@
 
     bool has_target() const { return admission_.has_value(); }
     bool draining() const { return draining_; }
+    /// Returns whether the target has stated that it leaves. This start of it does not return.
+    bool target_has_left() const { return target_has_left_; }
+    /// Returns whether \p event announces the start of the target that has stated that it leaves.
+    bool announces_left_target(const target_announced& event) const;
     /// Returns whether the target accepts new calls at \p now.
     bool ready(instant now) const { return has_target() && !draining_ && now < lease_until_; }
     const service_name& service() const { return service_; }
@@ -133,6 +137,7 @@
     instant rate_limit_learned_at_;
     /// Whether the target has answered since its start was announced to this process.
     bool target_has_answered_ = false;
+    bool target_has_left_ = false;
     instant lease_until_;
     millis warm_up_;
     std::uint64_t next_id_;
--- a/include/fescuedyke/routing/target_memory.h
+++ b/include/fescuedyke/routing/target_memory.h
@@ -23,6 +23,10 @@
     void on_rate_limit(const target_info& target, std::optional<call_rate> limit, instant now);
     std::optional<call_rate> rate_limit(const target_info& target) const;
 
+    /// Records that \p target leaves. It does not return before it starts again.
+    void on_left(const target_info& target, instant now);
+    bool has_left(const target_info& target) const;
+
     /// Extends the memory of the targets of \p view.
     void on_view(const target_view& view, instant now);
     /// Removes the targets that have not been in the view for some time.
@@ -33,6 +37,7 @@
 private:
     struct record {
         std::optional<call_rate> rate_limit;
+        bool has_left = false;
         instant seen_at;
     };
     using key = std::tuple<service_name, std::string, std::uint64_t>;
--- a/lib/node/inbound_calls.cpp
+++ b/lib/node/inbound_calls.cpp
@@ -201,8 +201,18 @@
                                         call.context.idempotent, !call.key.has_value()});
 }
 
+bool inbound_calls::announces_left_target(const target_announced& event) const
+{
+    return target_has_left_ && event.service == service_ && event.identity == identity_ &&
+           event.target_incarnation == target_incarnation_;
+}
+
 void inbound_calls::on_announced(const target_announced& event, moment at)
 {
+    if (announces_left_target(event)) {
+        return;
+    }
+    target_has_left_ = false;
     if (!admission_ || service_ != event.service) {
         admission_settings settings;
         settings.slots = event.slots;
--- a/lib/node/inbound_end.cpp
+++ b/lib/node/inbound_end.cpp
@@ -30,6 +30,7 @@
     if (admission_) {
         report = admission_->report(now);
     }
+    report.target_leaving = target_has_left_;
     report.time_at_node = now - call.arrived_at;
     if (const auto times = service_times_.find(flow); times != service_times_.end()) {
         report.flow_time = millis(std::llround(times->second.mean()));
@@ -211,10 +212,17 @@
 void inbound_calls::on_notice(const target_notice& notice, const inbound_call& call, instant now)
 {
     const bool of_earlier_start = call.dispatched_at < announced_at_;
-    if (of_earlier_start || (notice.rate_limit_malformed && !notice.rate_limit)) {
+    if (of_earlier_start) {
         return;
     }
     target_has_answered_ = true;
+    if (notice.leaving) {
+        target_has_left_ = true;
+        on_draining(now);
+    }
+    if (notice.rate_limit_malformed && !notice.rate_limit) {
+        return;
+    }
     const std::optional<call_rate> current = admission_->rate_limit();
     // Responses may arrive in another order than the target sent them. One to a call that was
     // dispatched after the limit was learned is later than the limit.
--- a/lib/node/node_core.cpp
+++ b/lib/node/node_core.cpp
@@ -118,7 +118,11 @@
 
 void node_core::on(const target_answered& event, moment at)
 {
+    const bool had_left = inbound_.target_has_left();
     inbound_.on_answered(event, at);
+    if (!had_left && inbound_.target_has_left()) {
+        owned_buckets_.release_all();
+    }
 }
 
 void node_core::on(const target_failed& event, moment at)
@@ -128,8 +132,9 @@
 
 void node_core::on(const target_announced& event, moment at)
 {
-    if (stopping_) {
-        // The target may outlive the node: its announcement must not open the node to new calls.
+    if (stopping_ || inbound_.announces_left_target(event)) {
+        // The target may outlive the node, and go on to announce itself while it leaves: its
+        // announcement must not open the node to new calls.
         return;
     }
     if (inbound_.draining()) {
--- a/lib/node/outbound_calls.cpp
+++ b/lib/node/outbound_calls.cpp
@@ -210,7 +210,8 @@
         return refused(outcome_reason::not_owner);
     }
     const target_info* owner = chooser_.find(call.context.service, grant->owner);
-    if (owner == nullptr || owner->state != target_state::ready) {
+    if (owner == nullptr || owner->state != target_state::ready ||
+        chooser_.memory().has_left(*owner)) {
         return refused(outcome_reason::not_owner);
     }
     call.target = *owner;
@@ -298,6 +299,9 @@
     if (load.rate_limit || event.reply.result.kind == outcome_kind::answered) {
         chooser_.memory().on_rate_limit(call->target, load.rate_limit, now);
     }
+    if (load.target_leaving) {
+        chooser_.memory().on_left(call->target, now);
+    }
     dependencies_.on_reply(context.flow, context.service, load.hops_below, now);
     if (call->target.location.region != settings_.location.region) {
         regions_.spend(call->target.location.region, event.reply.response.body_bytes(), now);
--- a/lib/routing/target_chooser.cpp
+++ b/lib/routing/target_chooser.cpp
@@ -160,7 +160,7 @@
         }
         target_stats* stats = find_stats(request.service, target.instance);
         assert(stats != nullptr && "every target in the view must have stats");
-        if (now < stats->avoided_until) {
+        if (now < stats->avoided_until || memory_.has_left(target)) {
             continue;
         }
         result.push_back({&target, stats});
--- a/lib/routing/target_memory.cpp
+++ b/lib/routing/target_memory.cpp
@@ -23,7 +23,7 @@
         found->second.seen_at = now;
     }
     else if (limit && !target.identity.empty()) {
-        records_[key_of(target)] = {limit, now};
+        records_[key_of(target)] = {limit, false, now};
     }
 }
 
@@ -33,6 +33,21 @@
     return found == records_.end() ? std::nullopt : found->second.rate_limit;
 }
 
+void target_memory::on_left(const target_info& target, instant now)
+{
+    if (!target.identity.empty()) {
+        record& r = records_[key_of(target)];
+        r.has_left = true;
+        r.seen_at = now;
+    }
+}
+
+bool target_memory::has_left(const target_info& target) const
+{
+    const auto found = records_.find(key_of(target));
+    return found != records_.end() && found->second.has_left;
+}
+
 void target_memory::on_view(const target_view& view, instant now)
 {
     if (records_.empty()) {
--- a/unittests/node/target_limit_test.cpp
+++ b/unittests/node/target_limit_test.cpp
@@ -257,5 +257,31 @@
     EXPECT_EQ(arrivals_in("t1", restarted), 0);
 }
 
+// Guards against a target that is in use again, because a report that it sent before it left
+// arrives late at its node.
+TEST_P(target_limit, a_late_report_does_not_bring_back_a_target_that_leaves)
+{
+    mesh_.target("t1").notice.leaving = true;
+    run(millis(3000));
+    const instant from = mesh_.now();
+    mesh_.announce("t1");
+    run(millis(3000));
+    EXPECT_EQ(arrivals_in("t1", from), 0);
+}
+
+// Guards against a target that starts again under its identity and gets no calls.
+TEST_P(target_limit, a_target_that_left_and_started_again_is_in_use)
+{
+    mesh_.target("t1").notice.leaving = true;
+    run(millis(3000));
+    mesh_.target("t1").notice.leaving = false;
+    mesh_.target("t1").started_at_ms = 2;
+    mesh_.announce("t1");
+    run(millis(3000));
+    const instant from = mesh_.now();
+    run(millis(4000));
+    EXPECT_GE(arrivals_in("t1", from), demand_per_second * 4 / 6);
+}
+
 } // namespace
 } // namespace fescuedyke
