Reject JSON bodies that are nested without bound

Here a member ended on a document whose rows are nested two million deep: the rows were copied, which recurses to their depth.

Cause: the depth of a body was not bounded where it was parsed, so that any function that copies a value may exhaust the stack. Reports of targets and announcements are parsed in the same way, but nothing copied them.

--- a/lib/daemon/http_api.cpp
+++ b/lib/daemon/http_api.cpp
@@ -1,5 +1,7 @@
 #include "fescuedyke/daemon/http_api.h"
 
+#include "fescuedyke/daemon/json_body.h"
+
 #include "fescuedyke/policy/policy.h"
 
 #include <nlohmann/json.hpp>
@@ -27,10 +29,12 @@
 /// Reads the members of a JSON object and keeps the first error.
 class json_reader {
 public:
-    explicit json_reader(const std::string& body) : object_(json::parse(body, nullptr, false))
+    explicit json_reader(const std::string& body)
     {
-        if (!object_.is_object()) {
-            status_ = absl::InvalidArgumentError("the body must be a JSON object");
+        absl::StatusOr<json> object = parse_json_object(body);
+        status_ = object.status();
+        if (object.ok()) {
+            object_ = std::move(*object);
         }
     }
 
--- a/unittests/daemon/http_api_test.cpp
+++ b/unittests/daemon/http_api_test.cpp
@@ -1,5 +1,6 @@
 #include "fescuedyke/daemon/handover_codec.h"
 #include "fescuedyke/daemon/http_api.h"
+#include "fescuedyke/daemon/json_body.h"
 #include "fescuedyke/daemon/outcome_http.h"
 #include "fescuedyke/settings/process_settings.h"
 
@@ -31,6 +32,17 @@
     EXPECT_FALSE(parse_announcement("[]").ok());
 }
 
+// Guards against a process that ends on a body that is nested too deeply (issue 28, report 1).
+TEST(http_api, bodies_nested_without_bound_are_rejected)
+{
+    constexpr std::size_t depth = 2'000'000;
+    const std::string nested = std::string(depth, '[') + std::string(depth, ']');
+    EXPECT_FALSE(parse_announcement(nested).ok());
+    EXPECT_FALSE(parse_announcement(R"({"service":)" + nested + "}").ok());
+    EXPECT_FALSE(parse_policy_change(R"({"labels":)" + nested + "}").ok());
+    EXPECT_TRUE(parse_json_object(R"({"a":[[[{"b":1}]]]})").ok());
+}
+
 RC_GTEST_PROP(http_api, arbitrary_input_does_not_crash_the_parsers, (const std::string& body))
 {
     (void)parse_announcement(body);
--- a/unittests/platform/platform_test.cpp
+++ b/unittests/platform/platform_test.cpp
@@ -139,6 +139,62 @@
     }
 }
 
+/// Returns arrays nested to a depth at which a recursive function exhausts the stack.
+std::string nested_arrays()
+{
+    constexpr std::size_t depth = 2'000'000;
+    return std::string(depth, '[') + std::string(depth, ']');
+}
+
+// Guards against a process that ends on an entry that is nested too deeply (issue 28, report 1).
+TEST(report, an_entry_nested_without_bound_is_rejected_or_ignored)
+{
+    const std::string nested = nested_arrays();
+    EXPECT_FALSE(parse_report("i-1", nested).ok());
+    EXPECT_FALSE(parse_report("i-1", R"({"Service":)" + nested + "}").ok());
+    EXPECT_FALSE(parse_report("i-1", R"({"Extra":)" + nested + "}").ok());
+    EXPECT_FALSE(parse_deregistered_start(R"({"born":)" + nested + "}").ok());
+}
+
+// Guards against a process that ends on a number that is too large, or that takes it for another
+// one (issue 28, report 1).
+TEST(report, numbers_out_of_range_are_rejected)
+{
+    const std::string valid_report =
+        R"({"Service":"pay","Address":"10.0.0.9:8080","Slots":103,"State":"ready","Seq":4})";
+    ASSERT_TRUE(parse_report("i-1", valid_report).ok());
+    const std::vector<std::pair<std::string, std::string>> edits = {
+        {"103", "1e999"},
+        {"103", "-1e999"},
+        {"103", std::string(400, '9')},
+        {"103", "18446744073709551616"},
+        {"103", "4294967297"},
+        {"\"Seq\":4", "\"Seq\":" + std::string(400, '9')},
+        {":8080", ":0"},
+        {":8080", ":65536"},
+        {":8080", ":-1"},
+        {":8080", ":4294975376"},
+        {":8080", ":" + std::string(400, '9')},
+        {":8080", ""},
+    };
+    for (const auto& [from, to] : edits) {
+        std::string text = valid_report;
+        text.replace(text.find(from), from.size(), to);
+        EXPECT_FALSE(parse_report("i-1", text).ok()) << text;
+    }
+}
+
+// Guards against a member that ends on a document that is nested too deeply.
+TEST(document, a_document_nested_without_bound_is_rejected)
+{
+    const std::string nested = nested_arrays();
+    EXPECT_FALSE(parse_document(nested).ok());
+    EXPECT_FALSE(parse_document(R"({"Version":)" + nested + "}").ok());
+    EXPECT_FALSE(
+        parse_document(R"({"Routes":{"Columns":["Name"],"Rows":[[)" + nested + "]]}}").ok());
+    EXPECT_FALSE(parse_document(R"({"Routes":{"Columns":)" + nested + R"(,"Rows":[]}})").ok());
+}
+
 http_request sample_request()
 {
     http_request request;
