Test members whose disks are full in turn

The group of test members can now let members run on whose disk refuses a write, as their processes do.

--- a/bench/cluster/cluster.cpp
+++ b/bench/cluster/cluster.cpp
@@ -156,7 +156,7 @@
     }
     const wall_time wall(now_.since_origin());
     const control_actions actions = m.core->handle(event, {now_, wall});
-    if (!m.core->disk_status().ok()) {
+    if (!m.core->disk_status().ok() && !keeps_members_with_failed_disks_) {
         // A torn write counts as a crash, so the actions that follow it are dropped.
         m.core.reset();
         return;
--- a/bench/cluster/cluster.h
+++ b/bench/cluster/cluster.h
@@ -90,6 +90,9 @@
     void isolate(const std::string& name);
     void unblock_links() { blocked_links_.clear(); }
     void set_faults(const link_faults& faults) { faults_ = faults; }
+    /// Lets members run on whose disk refuses a write, as their processes do. By default such a
+    /// write counts as a crash.
+    void keep_members_with_failed_disks() { keeps_members_with_failed_disks_ = true; }
 
     /// Describes the last invariant violation; empty if none was found.
     const std::string& violation() const { return violation_; }
@@ -135,6 +138,7 @@
     std::multimap<instant, queued_message> in_flight_;
     std::set<std::pair<std::string, std::string>> blocked_links_;
     link_faults faults_;
+    bool keeps_members_with_failed_disks_ = false;
     std::map<std::uint64_t, answer_change> answers_;
     std::optional<std::uint64_t> stop_at_answer_;
     std::map<std::uint64_t, answer_document> documents_;
