Show that a cancellation which arrives during a read is overlooked

So the test found a fault of the product by accident: a read that returns less than it may is taken as proof that nothing else has arrived.

Change: the test sets the receive buffer, and asserts that the cancellation has arrived and that more lies in front of it than the reads of one event take. It fails if requests are passed on after each event, as it did before. A second test brings the cancellation about between the read and the delivery.

--- a/unittests/transport/caller_gone_test.cpp
+++ b/unittests/transport/caller_gone_test.cpp
@@ -3,6 +3,8 @@
 #include "fescuedyke/transport/peer_client.h"
 #include "fescuedyke/transport/peer_server.h"
 
+#include <sys/ioctl.h>
+
 #include <algorithm>
 
 /// \file
@@ -70,6 +72,57 @@
     EXPECT_EQ(cancelled_, std::vector<exchange_id>{requests_["/1"].exchange});
 }
 
+/// Returns the socket of this process that a listener on \p port has accepted, or -1.
+int accepted_socket(std::uint16_t port)
+{
+    constexpr int max_descriptors = 1024;
+    for (int fd = 0; fd < max_descriptors; ++fd) {
+        sockaddr_in local{};
+        sockaddr_in remote{};
+        socklen_t local_length = sizeof local;
+        socklen_t remote_length = sizeof remote;
+        if (::getsockname(fd, reinterpret_cast<sockaddr*>(&local), &local_length) == 0 &&
+            ::getpeername(fd, reinterpret_cast<sockaddr*>(&remote), &remote_length) == 0 &&
+            local.sin_family == AF_INET && ntohs(local.sin_port) == port) {
+            return fd;
+        }
+    }
+    return -1;
+}
+
+/// Returns how many bytes have arrived at \p fd and have not been read.
+int unread_bytes(int fd)
+{
+    int count = 0;
+    EXPECT_EQ(::ioctl(fd, FIONREAD, &count), 0);
+    return count;
+}
+
+/// A clock that does something once, when it is read while a socket holds no unread byte.
+class reacting_clock final : public clock {
+public:
+    moment read() const override
+    {
+        if (fd_ >= 0 && unread_bytes(fd_) == 0) {
+            fd_ = -1;
+            reaction_();
+        }
+        return {};
+    }
+
+    void react_when_read(int fd, std::function<void()> reaction)
+    {
+        fd_ = fd;
+        reaction_ = std::move(reaction);
+    }
+
+    bool has_reacted() const { return reaction_ && fd_ < 0; }
+
+private:
+    mutable int fd_ = -1;
+    std::function<void()> reaction_;
+};
+
 /// Runs a client and a server of HTTP/2 streams on loops of their own, so that either can be
 /// paused.
 class peer_gone : public testing::Test {
@@ -119,9 +172,10 @@
     }
 
     const endpoint address_{"127.0.0.1", port};
-    manual_clock clock_;
-    event_loop client_loop_{clock_};
-    event_loop server_loop_{clock_};
+    manual_clock client_clock_;
+    reacting_clock server_clock_;
+    event_loop client_loop_{client_clock_};
+    event_loop server_loop_{server_clock_};
     std::vector<std::string> received_;
     std::size_t cancelled_ = 0;
     std::unique_ptr<peer_client> client_ = std::make_unique<peer_client>(client_loop_);
@@ -152,14 +206,21 @@
     EXPECT_EQ(cancelled_, 0U);
 }
 
-// Guards against the same if the cancellation lies further behind than one read reaches.
+// Guards against the same if the cancellation lies further behind than the reads of one event
+// reach.
 TEST_F(peer_gone, a_cancellation_behind_many_requests_is_read_before_they_are_passed_on)
 {
     constexpr std::size_t request_bytes = 40U << 10U;
-    constexpr int request_count = 8;
+    constexpr int request_count = 4;
+    // The kernel doubles this value, and keeps a half for its own use.
+    constexpr int receive_buffer_bytes = 200 << 10;
     connect();
-    // The receive buffer grows with the bytes that are read.
-    constexpr std::size_t warm_up_count = 100;
+    const int fd = accepted_socket(port);
+    ASSERT_EQ(
+        ::setsockopt(fd, SOL_SOCKET, SO_RCVBUF, &receive_buffer_bytes, sizeof receive_buffer_bytes),
+        0);
+    // The larger window is announced with the acknowledgements of these requests.
+    constexpr std::size_t warm_up_count = 20;
     for (std::size_t i = 0; i < warm_up_count; ++i) {
         send("warm" + std::string(request_bytes, 'x'));
         turn_both(10);
@@ -171,13 +232,37 @@
         send("more" + std::string(request_bytes, 'x'));
     }
     turn_client(10);
+    const int bytes_before_cancellation = unread_bytes(fd);
+    ASSERT_GE(bytes_before_cancellation, request_count * static_cast<int>(request_bytes));
     client_->cancel(second);
     turn_client(10);
+    ASSERT_GT(unread_bytes(fd), bytes_before_cancellation);
     turn_both(50);
     EXPECT_EQ(received_.size(), std::size_t{request_count});
     EXPECT_EQ(std::count(received_.begin(), received_.end(), "second"), 0);
 }
 
+// Guards against the same if the cancellation arrives while the request is read: a read that takes
+// all bytes opens the receive window, so that the kernel delivers what it had to keep back.
+TEST_F(peer_gone,
+       a_cancellation_that_arrives_during_the_read_is_read_before_the_request_is_passed_on)
+{
+    connect();
+    const peer_request_id second = send("second");
+    turn_client(5);
+    const int fd = accepted_socket(port);
+    ASSERT_GT(unread_bytes(fd), 0);
+    server_clock_.react_when_read(fd, [this, second, fd] {
+        client_->cancel(second);
+        turn_client(5);
+        EXPECT_GT(unread_bytes(fd), 0);
+    });
+    turn_both(10);
+    ASSERT_TRUE(server_clock_.has_reacted());
+    EXPECT_EQ(received_, std::vector<std::string>{"first"});
+    EXPECT_EQ(cancelled_, 0U);
+}
+
 // Guards against requests of a peer that has closed its connection since.
 TEST_F(peer_gone, a_request_of_a_connection_that_has_ended_is_not_passed_on)
 {
