Read a peer's socket until it is empty before requests are passed on

Cause: a read that returned less than the buffer holds was taken as proof that nothing else had arrived. Such a read opens the receive window, and the kernel then delivers what the sender had to keep back, a cancellation among it.

Change: requests are passed on only after a read that found nothing.

--- a/lib/transport/h2_connection.cpp
+++ b/lib/transport/h2_connection.cpp
@@ -337,8 +337,10 @@
         if (got == 0 || (got < 0 && errno != EAGAIN && errno != EINTR)) {
             return false;
         }
-        all_read = got < static_cast<ssize_t>(buffer.size());
-        if (got < 0) {
+        // A read that returns less than the buffer holds opens the receive window, so that the
+        // kernel delivers what the sender had to keep back.
+        all_read = got < 0;
+        if (all_read) {
             break;
         }
         last_received_ = loop_.now().now;
