Show that a caller who leaves during a read is overlooked

Cause: the end of a caller's connection is taken from the events that were reported before the read.

Change: a test brings the end about between the read and the dispatch. The clock that reacts to a read moves to the fixture, whose clock it becomes.

--- a/unittests/transport/caller_gone_test.cpp
+++ b/unittests/transport/caller_gone_test.cpp
@@ -3,8 +3,6 @@
 #include "fescuedyke/transport/peer_client.h"
 #include "fescuedyke/transport/peer_server.h"
 
-#include <sys/ioctl.h>
-
 #include <algorithm>
 
 /// \file
@@ -27,6 +25,23 @@
     EXPECT_TRUE(server_->idle());
 }
 
+// Guards against the same if the caller leaves while its request is read: the end may lie behind
+// bytes that the receive window kept back until then.
+TEST_F(caller_gone, a_request_whose_caller_leaves_during_the_read_is_not_passed_on)
+{
+    caller c;
+    c.send(get("/1"));
+    ASSERT_TRUE(wait_for_requests(1));
+    answer("/1", "one");
+    ASSERT_TRUE(receive_text(c, "one"));
+    c.send(get("/2"));
+    clock_.react_when_read(accepted_socket(connection_end_port), [&c] { c.close(); });
+    settle();
+    ASSERT_TRUE(clock_.has_reacted());
+    EXPECT_EQ(requests_.size(), 1U);
+    EXPECT_EQ(server_->connections(), 0U);
+}
+
 // Guards against the same on a connection that has served requests before.
 TEST_F(caller_gone, a_further_request_that_is_read_after_its_caller_left_is_not_passed_on)
 {
@@ -72,57 +87,6 @@
     EXPECT_EQ(cancelled_, std::vector<exchange_id>{requests_["/1"].exchange});
 }
 
-/// Returns the socket of this process that a listener on \p port has accepted, or -1.
-int accepted_socket(std::uint16_t port)
-{
-    constexpr int max_descriptors = 1024;
-    for (int fd = 0; fd < max_descriptors; ++fd) {
-        sockaddr_in local{};
-        sockaddr_in remote{};
-        socklen_t local_length = sizeof local;
-        socklen_t remote_length = sizeof remote;
-        if (::getsockname(fd, reinterpret_cast<sockaddr*>(&local), &local_length) == 0 &&
-            ::getpeername(fd, reinterpret_cast<sockaddr*>(&remote), &remote_length) == 0 &&
-            local.sin_family == AF_INET && ntohs(local.sin_port) == port) {
-            return fd;
-        }
-    }
-    return -1;
-}
-
-/// Returns how many bytes have arrived at \p fd and have not been read.
-int unread_bytes(int fd)
-{
-    int count = 0;
-    EXPECT_EQ(::ioctl(fd, FIONREAD, &count), 0);
-    return count;
-}
-
-/// A clock that does something once, when it is read while a socket holds no unread byte.
-class reacting_clock final : public clock {
-public:
-    moment read() const override
-    {
-        if (fd_ >= 0 && unread_bytes(fd_) == 0) {
-            fd_ = -1;
-            reaction_();
-        }
-        return {};
-    }
-
-    void react_when_read(int fd, std::function<void()> reaction)
-    {
-        fd_ = fd;
-        reaction_ = std::move(reaction);
-    }
-
-    bool has_reacted() const { return reaction_ && fd_ < 0; }
-
-private:
-    mutable int fd_ = -1;
-    std::function<void()> reaction_;
-};
-
 /// Runs a client and a server of HTTP/2 streams on loops of their own, so that either can be
 /// paused.
 class peer_gone : public testing::Test {
@@ -173,7 +137,7 @@
 
     const endpoint address_{"127.0.0.1", port};
     manual_clock client_clock_;
-    reacting_clock server_clock_;
+    manual_clock server_clock_;
     event_loop client_loop_{client_clock_};
     event_loop server_loop_{server_clock_};
     std::vector<std::string> received_;
--- a/unittests/transport/http_connection_fixture.h
+++ b/unittests/transport/http_connection_fixture.h
@@ -9,10 +9,12 @@
 #include <arpa/inet.h>
 #include <cerrno>
 #include <chrono>
+#include <functional>
 #include <map>
 #include <memory>
 #include <netinet/in.h>
 #include <string>
+#include <sys/ioctl.h>
 #include <sys/socket.h>
 #include <thread>
 #include <unistd.h>
@@ -29,18 +31,62 @@
 constexpr int small_receive_buffer = 64 << 10;
 constexpr std::size_t long_body_bytes = 8U << 20U;
 
+/// Returns the socket of this process that a listener on \p port has accepted, or -1.
+inline int accepted_socket(std::uint16_t port)
+{
+    constexpr int max_descriptors = 1024;
+    for (int fd = 0; fd < max_descriptors; ++fd) {
+        sockaddr_in local{};
+        sockaddr_in remote{};
+        socklen_t local_length = sizeof local;
+        socklen_t remote_length = sizeof remote;
+        if (::getsockname(fd, reinterpret_cast<sockaddr*>(&local), &local_length) == 0 &&
+            ::getpeername(fd, reinterpret_cast<sockaddr*>(&remote), &remote_length) == 0 &&
+            local.sin_family == AF_INET && ntohs(local.sin_port) == port) {
+            return fd;
+        }
+    }
+    return -1;
+}
+
+/// Returns how many bytes have arrived at \p fd and have not been read.
+inline int unread_bytes(int fd)
+{
+    int count = 0;
+    EXPECT_EQ(::ioctl(fd, FIONREAD, &count), 0);
+    return count;
+}
+
 /// A clock that only the test advances.
 class manual_clock final : public clock {
 public:
-    moment read() const override { return now_; }
+    moment read() const override
+    {
+        if (watched_fd_ >= 0 && unread_bytes(watched_fd_) == 0) {
+            watched_fd_ = -1;
+            reaction_();
+        }
+        return now_;
+    }
     void advance(millis duration)
     {
         now_.now = now_.now + duration;
         now_.wall = now_.wall + duration;
     }
 
+    /// Calls \p reaction once, when the clock is read while the socket \p fd holds no unread byte:
+    /// between a read of all its bytes and their use.
+    void react_when_read(int fd, std::function<void()> reaction)
+    {
+        watched_fd_ = fd;
+        reaction_ = std::move(reaction);
+    }
+    bool has_reacted() const { return reaction_ && watched_fd_ < 0; }
+
 private:
     moment now_{instant(1'000'000), wall_time(1'000'000)};
+    mutable int watched_fd_ = -1;
+    std::function<void()> reaction_;
 };
 
 /// A caller whose socket never blocks.
