Look for the end of a caller when its request is dispatched

Cause: the end of a caller's connection was taken from the events that were reported before the read. An end behind bytes that the receive window kept back, or one that arrives meanwhile, was overlooked, and the request was passed on.

Change: a request that needs its caller is dispatched only if its connection has not ended at that moment (poll without a wait, one call of the kernel for each request).

Measured: caller_gone.a_request_whose_caller_leaves_during_the_read_is_not_passed_on failed before and passes; peer_gone.* and caller_gone.* pass in 10 of 10 runs; transport_tests pass (79).

--- a/include/fescuedyke/transport/socket.h
+++ b/include/fescuedyke/transport/socket.h
@@ -37,6 +37,10 @@
 /// Returns whether a connected socket has no bytes to read and has neither ended nor failed.
 bool is_quiet(int fd);
 
+/// Returns whether the peer of a connected socket has ended the connection, or the connection has
+/// failed, although bytes that arrived before may still be unread.
+bool has_ended(int fd);
+
 /// Sends \p bytes from \p offset on until the socket accepts no more, and advances \p offset.
 /// Returns false on a connection error.
 bool send_some(int fd, const std::string& bytes, std::size_t& offset);
--- a/lib/transport/http_connection.cpp
+++ b/lib/transport/http_connection.cpp
@@ -257,7 +257,8 @@
 void http_server::connection::dispatch(http_request request)
 {
     const auto& needs_caller = server_.handlers_.needs_caller;
-    if (caller_gone_ && needs_caller && needs_caller(request)) {
+    // The end may have arrived since the events were reported, behind the bytes that were read.
+    if (needs_caller && needs_caller(request) && (caller_gone_ || has_ended(fd_))) {
         ++dropped_requests_;
         close(connection_end::client_closed);
         return;
--- a/lib/transport/socket.cpp
+++ b/lib/transport/socket.cpp
@@ -6,6 +6,7 @@
 #include <cstring>
 #include <netinet/in.h>
 #include <netinet/tcp.h>
+#include <poll.h>
 #include <sys/socket.h>
 #include <unistd.h>
 
@@ -106,6 +107,12 @@
     return ::recv(fd, &byte, sizeof byte, MSG_PEEK) < 0 && errno == EAGAIN;
 }
 
+bool has_ended(int fd)
+{
+    pollfd polled{fd, POLLRDHUP, 0};
+    return ::poll(&polled, 1, 0) > 0;
+}
+
 bool send_some(int fd, const std::string& bytes, std::size_t& offset)
 {
     while (offset < bytes.size()) {
