Show that a call that is sent again exceeds the limit of its target

Change: the client of the target tells the node that it sends a call again. A test lets every call of a limited target arrive twice.

--- a/include/fescuedyke/node/events.h
+++ b/include/fescuedyke/node/events.h
@@ -108,6 +108,12 @@
     target_failure failure = target_failure::connection_lost;
 };
 
+/// A dispatched call was sent again on a new connection, because its kept one had broken. The
+/// target may have received it twice.
+struct target_call_resent {
+    inbound_id call;
+};
+
 /// The target announced itself, or renewed its announcement, possibly with other slots or labels.
 struct target_announced {
     service_name service;
@@ -172,9 +178,9 @@
 
 using node_event =
     std::variant<caller_request, caller_disconnected, peer_call, peer_cancelled, peer_reply,
-                 peer_failed, target_answered, target_failed, target_announced, target_draining,
-                 node_stopping, node_refusing, node_ending, policies_updated, targets_updated,
-                 owners_updated, lease_renewed, records_handed_over, tick>;
+                 peer_failed, target_answered, target_failed, target_call_resent, target_announced,
+                 target_draining, node_stopping, node_refusing, node_ending, policies_updated,
+                 targets_updated, owners_updated, lease_renewed, records_handed_over, tick>;
 
 } // namespace fescuedyke
 
--- a/include/fescuedyke/node/inbound_calls.h
+++ b/include/fescuedyke/node/inbound_calls.h
@@ -60,6 +60,7 @@
     void on_cancelled(const reply_address& reply_to, moment at);
     void on_answered(const target_answered& event, moment at);
     void on_failed(const target_failed& event, moment at);
+    void on_resent(const target_call_resent& event, instant now);
     void on_announced(const target_announced& event, moment at);
     void on_draining(instant now);
     /// Refuses the calls that wait for the target.
--- a/include/fescuedyke/node/node_core.h
+++ b/include/fescuedyke/node/node_core.h
@@ -51,6 +51,7 @@
     void on(const peer_failed& event, moment at);
     void on(const target_answered& event, moment at);
     void on(const target_failed& event, moment at);
+    void on(const target_call_resent& event, moment at);
     void on(const target_announced& event, moment at);
     void on(const target_draining& event, moment at);
     void on(const node_stopping& event, moment at);
--- a/lib/daemon/traffic_runtime.cpp
+++ b/lib/daemon/traffic_runtime.cpp
@@ -395,6 +395,7 @@
     request.address = target_address_;
     request.time_left = action.time_left;
     const inbound_id call = action.call;
+    request.on_resent = [this, call] { handle(target_call_resent{call}); };
     dispatched_at_[call] = loop_.now().now;
     target_.send(call.value(), request, [this, call](target_result result) {
         if (auto* response = std::get_if<http_response>(&result)) {
--- a/lib/node/inbound_end.cpp
+++ b/lib/node/inbound_end.cpp
@@ -255,6 +255,12 @@
     apply(next, at.now);
 }
 
+void inbound_calls::on_resent(const target_call_resent& event, instant now)
+{
+    (void)event;
+    (void)now;
+}
+
 void inbound_calls::refuse_queued_calls(outcome_reason reason, instant now)
 {
     std::vector<inbound_id> queued;
--- a/lib/node/node_core.cpp
+++ b/lib/node/node_core.cpp
@@ -130,6 +130,11 @@
     inbound_.on_failed(event, at);
 }
 
+void node_core::on(const target_call_resent& event, moment at)
+{
+    inbound_.on_resent(event, at.now);
+}
+
 void node_core::on(const target_announced& event, moment at)
 {
     if (stopping_ || inbound_.announces_left_target(event)) {
--- a/lib/transport/target_connection.cpp
+++ b/lib/transport/target_connection.cpp
@@ -390,6 +390,9 @@
     }
     target_client& owner = owner_;
     if (stale && request.may_resend && !request.request->body_stream) {
+        if (request.on_resent) {
+            request.on_resent();
+        }
         owner.start(id, request, done, true);
         return;
     }
--- a/unittests/node/limited_mesh.cpp
+++ b/unittests/node/limited_mesh.cpp
@@ -6,6 +6,7 @@
 
 const service_name service("s");
 constexpr millis link_delay{1};
+constexpr millis resend_delay{5};
 constexpr millis deadline{2000};
 constexpr millis lease{60'000};
 constexpr millis tick_period{10};
@@ -191,7 +192,12 @@
 {
     mesh_target& t = targets_.at(name);
     const open_request& request = requests_.at(request_of(*action.request));
-    t.arrivals.push_back({now_, request.sent_at, request.origin, request.cls});
+    const target_arrival arrival{now_, request.sent_at, request.origin, request.cls};
+    t.arrivals.push_back(arrival);
+    if (t.breaks_connections) {
+        t.arrivals.push_back(arrival);
+        schedule(resend_delay, name, target_call_resent{action.call});
+    }
     running_.emplace(now_ + t.service_time,
                      running_call{name, nodes_.at(name).instance, action.call});
 }
--- a/unittests/node/limited_mesh.h
+++ b/unittests/node/limited_mesh.h
@@ -30,6 +30,8 @@
     int slots = 100;
     millis service_time{60};
     target_notice notice;
+    /// Every call arrives twice, because its kept connection breaks.
+    bool breaks_connections = false;
     std::vector<target_arrival> arrivals;
 };
 
--- a/unittests/node/target_limit_test.cpp
+++ b/unittests/node/target_limit_test.cpp
@@ -96,6 +96,19 @@
               allowed_calls(7.5));
 }
 
+// Guards against calls that exceed the limit because they are sent again on new connections (issue
+// 28, LIMIT).
+TEST_P(target_limit, a_call_that_is_sent_again_counts_twice)
+{
+    mesh_.target("t1").breaks_connections = true;
+    limit("t1", "20");
+    const instant named = mesh_.now();
+    run(millis(20'000));
+    EXPECT_LE(most_in_a_window(mesh_.target("t1"), named + stability_time, mesh_.now()),
+              allowed_calls(20));
+    EXPECT_GE(arrivals_in("t1", named + stability_time), 20 * 17 / 2);
+}
+
 // Guards against callers that are refused although another target has room, and against most of
 // the attempts being refused by limited targets (issue 28, LIMIT).
 TEST_P(target_limit, the_surplus_goes_to_targets_with_room)
--- a/unittests/transport/http_test.cpp
+++ b/unittests/transport/http_test.cpp
@@ -249,6 +249,7 @@
         r.request = request;
         r.may_resend = may_resend;
         r.required_echo = header{"Id", id};
+        r.on_resent = [this] { ++resent_; };
         target_result result = target_failure::connection_lost;
         event_loop& loop = *loop_;
         client_->send(++next_request_, r, [&](target_result received) {
@@ -289,6 +290,7 @@
     std::unique_ptr<event_loop> loop_ = std::make_unique<event_loop>(clock_);
     std::unique_ptr<target_client> client_ = std::make_unique<target_client>(*loop_);
     std::uint64_t next_request_ = 0;
+    int resent_ = 0;
     std::thread thread_;
 };
 
@@ -423,7 +425,9 @@
                     c.read_to_end();
                 }});
     expect_body(send("1"), "one");
+    EXPECT_EQ(resent_, 0);
     expect_body(send("2", true), "two");
+    EXPECT_EQ(resent_, 1);
     client_->close_idle();
 }
 
@@ -440,6 +444,7 @@
     }});
     expect_body(send("1"), "one");
     expect_failure(send("2", true), target_failure::connection_lost);
+    EXPECT_EQ(resent_, 0);
     thread_.join();
     EXPECT_EQ(requests, 1);
 }
