Count a call that is sent again against the limit of its target

Cause: a call that the client of the target sent again on a new connection took one turn of the limit, although the target may have got it twice.

Change: it takes a second turn. The call itself is not delayed, the calls after it are.

--- a/include/fescuedyke/admission/admission_queue.h
+++ b/include/fescuedyke/admission/admission_queue.h
@@ -102,6 +102,10 @@
     void set_rate_limit(std::optional<call_rate> rate, instant now) { rate_.set_rate(rate, now); }
     const std::optional<call_rate>& rate_limit() const { return rate_.rate(); }
 
+    /// Counts a running call once more, because it was sent to the target again. It is not delayed:
+    /// the calls after it are.
+    void on_resent(instant now) { rate_.on_dispatched(now); }
+
     load_report report(instant now) const;
 
     int running() const { return static_cast<int>(running_.size()); }
--- a/lib/node/inbound_end.cpp
+++ b/lib/node/inbound_end.cpp
@@ -257,8 +257,12 @@
 
 void inbound_calls::on_resent(const target_call_resent& event, instant now)
 {
-    (void)event;
-    (void)now;
+    const auto found = calls_.find(event.call);
+    const bool running =
+        found != calls_.end() && found->second.current_stage == inbound_call::stage::running;
+    if (running) {
+        admission_->on_resent(now);
+    }
 }
 
 void inbound_calls::refuse_queued_calls(outcome_reason reason, instant now)
