Reuse no connection on which a response to another request arrived

Cause: a response that did not answer the waiting request was ignored, and its connection was kept for further requests. A target that sends one late copy may send more.

Change: the connection ends after the response to the waiting request. Only a target that echoes the id of a request can be told apart in this way; the dialect of the platform requires the echo.

Measured: target_client_test.a_connection_with_a_response_to_another_request_is_not_reused failed before and passes; the 10 tests of target_client_test pass in 3 of 3 runs.

--- a/lib/transport/target_connection.cpp
+++ b/lib/transport/target_connection.cpp
@@ -363,6 +363,8 @@
 bool target_client::connection::deliver(http_response response)
 {
     if (!has_required_echo(response)) {
+        // More copies may follow at any time.
+        reusable_ = false;
         return false;
     }
     reusable_ = reusable_ && reader_.keep_alive() && input_.empty();
--- a/unittests/transport/target_client_test.cpp
+++ b/unittests/transport/target_client_test.cpp
@@ -112,6 +112,26 @@
     expect_body(send("1"), "mine");
 }
 
+// Guards against a connection that is used on although a late copy of an earlier response arrived on
+// it (issue 25, report 1).
+TEST_F(target_client_test, a_connection_with_a_response_to_another_request_is_not_reused)
+{
+    run_target({[](raw_socket& c) {
+                    c.read_until("\r\n\r\n");
+                    c.send(make_response_text("old", "late"));
+                    c.send(make_response_text("1", "mine"));
+                    EXPECT_EQ(c.read_until("\r\n\r\n"), "");
+                },
+                [](raw_socket& c) {
+                    c.read_until("\r\n\r\n");
+                    c.send(make_response_text("2", "two"));
+                    c.read_to_end();
+                }});
+    expect_body(send("1"), "mine");
+    expect_body(send("2"), "two");
+    client_->close_idle();
+}
+
 TEST_F(target_client_test, a_body_that_arrives_after_its_head_belongs_to_the_response)
 {
     run_target({[](raw_socket& c) {
