Send a further attempt of a request on another connection

Cause: a response is told apart from copies of earlier ones by the id of its request, which it repeats. A further attempt of the same request at the same target has the same id. If it used the connection of the earlier attempt, a second copy of that attempt's refusal was taken for its response: callers would be told "not run" for a request that runs.

Change: a connection remembers the ids that it has carried, as hashes, and carries none of them again; it ends after 1,000.

--- a/lib/transport/target_client.cpp
+++ b/lib/transport/target_client.cpp
@@ -37,7 +37,7 @@
         const bool reusable =
             now < c->idle_deadline() &&
             (request.may_resend || now - c->last_used() < max_idle_if_not_resendable);
-        if (c->connects_to(request.address) && reusable && c->quiet()) {
+        if (c->connects_to(request.address) && reusable && c->can_carry(request) && c->quiet()) {
             idle_.erase(std::next(it).base());
             return c;
         }
--- a/lib/transport/target_connection.cpp
+++ b/lib/transport/target_connection.cpp
@@ -1,6 +1,7 @@
 #include "target_connection.h"
 
 #include <algorithm>
+#include <functional>
 #include <unistd.h>
 
 namespace fescuedyke {
@@ -35,6 +36,15 @@
 /// those to other requests before it.
 constexpr std::uint64_t max_buffered_response_bytes = 16U << 20U;
 
+/// Maximum number of requests with an echo that one connection carries, since it remembers them
+/// all.
+constexpr std::size_t max_echoes_per_connection = 1000;
+
+std::size_t hash_of(const header& echo)
+{
+    return std::hash<std::string>{}(echo.value);
+}
+
 } // namespace
 
 bool target_client::connection::connect()
@@ -57,6 +67,10 @@
     request_started_ = owner_.loop_.now().now;
     request_ = request;
     done_ = std::move(done);
+    if (request.required_echo) {
+        earlier_echoes_.insert(hash_of(*request.required_echo));
+        reusable_ = earlier_echoes_.size() < max_echoes_per_connection;
+    }
     any_sent_ = false;
     received_bytes_ = 0;
     reader_.begin(request.request->method);
@@ -79,6 +93,11 @@
     }
 }
 
+bool target_client::connection::can_carry(const target_request& request) const
+{
+    return !request.required_echo || earlier_echoes_.count(hash_of(*request.required_echo)) == 0;
+}
+
 void target_client::connection::cancel()
 {
     done_ = nullptr;
--- a/lib/transport/target_connection.h
+++ b/lib/transport/target_connection.h
@@ -10,6 +10,7 @@
 #include <optional>
 #include <string>
 #include <sys/epoll.h>
+#include <unordered_set>
 #include <utility>
 
 /// \file
@@ -37,6 +38,9 @@
     /// Returns whether nothing has arrived on the idle connection, so that what arrives next
     /// belongs to the next request.
     bool quiet() const { return is_quiet(fd_); }
+    /// Returns whether a response to \p request can be told apart from copies of the responses to
+    /// the requests before it: an earlier attempt of the same request has the same echo.
+    bool can_carry(const target_request& request) const;
     instant idle_deadline() const { return idle_deadline_; }
     instant last_used() const { return last_used_; }
     std::uint64_t id() const { return request_id_; }
@@ -109,6 +113,8 @@
     std::optional<timer_id> body_timer_;
     bool response_delivered_ = false;
     bool reusable_ = true;
+    /// Hashes of the echo headers that were required of earlier responses.
+    std::unordered_set<std::size_t> earlier_echoes_;
     instant request_started_;
     instant idle_deadline_;
     instant last_used_;
--- a/unittests/transport/raw_socket.h
+++ b/unittests/transport/raw_socket.h
@@ -6,7 +6,9 @@
 #include <arpa/inet.h>
 #include <array>
 #include <cerrno>
+#include <chrono>
 #include <netinet/in.h>
+#include <poll.h>
 #include <string>
 #include <sys/socket.h>
 #include <unistd.h>
@@ -102,6 +104,13 @@
         return received == 0 || errno != EAGAIN;
     }
 
+    /// Returns whether bytes or the end of the connection arrive within \p timeout.
+    bool becomes_readable(std::chrono::milliseconds timeout) const
+    {
+        pollfd polled{fd_, POLLIN, 0};
+        return ::poll(&polled, 1, static_cast<int>(timeout.count())) > 0;
+    }
+
     /// Reads until the peer has closed the connection and returns all received bytes.
     std::string read_to_end() { return read_until("\x01never\x01"); }
 
--- a/unittests/transport/target_client_test.cpp
+++ b/unittests/transport/target_client_test.cpp
@@ -7,6 +7,7 @@
 
 #include <algorithm>
 #include <atomic>
+#include <optional>
 #include <thread>
 
 /// \file
@@ -112,8 +113,8 @@
     expect_body(send("1"), "mine");
 }
 
-// Guards against a connection that is used on although a late copy of an earlier response arrived on
-// it (issue 25, report 1).
+// Guards against a connection that is used on although a late copy of an earlier response arrived
+// on it (issue 25, report 1).
 TEST_F(target_client_test, a_connection_with_a_response_to_another_request_is_not_reused)
 {
     run_target({[](raw_socket& c) {
@@ -132,6 +133,33 @@
     client_->close_idle();
 }
 
+// Guards against a refusal of an earlier attempt that is taken for the response to a later attempt
+// of the same request, because it arrives once more on a kept connection (issue 25, report 7).
+TEST_F(target_client_test, a_further_attempt_of_a_request_uses_another_connection)
+{
+    std::optional<raw_socket> kept;
+    run_target({[&](raw_socket& c) {
+                    c.read_until("\r\n\r\n");
+                    c.send(make_response_text("1", "refused"));
+                    if (c.becomes_readable(std::chrono::milliseconds(200))) {
+                        c.read_until("\r\n\r\n");
+                        c.send(make_response_text("1", "refused"));
+                    }
+                    kept.emplace(std::move(c));
+                },
+                [](raw_socket& c) {
+                    c.read_until("\r\n\r\n");
+                    c.send(make_response_text("1", "mine"));
+                    c.read_until("\r\n\r\n");
+                    c.send(make_response_text("2", "two"));
+                    c.read_to_end();
+                }});
+    expect_body(send("1"), "refused");
+    expect_body(send("1"), "mine");
+    expect_body(send("2"), "two");
+    client_->close_idle();
+}
+
 TEST_F(target_client_test, a_body_that_arrives_after_its_head_belongs_to_the_response)
 {
     run_target({[](raw_socket& c) {
