Ignore a response that names another call

Cause: targets that speak the native headers need not repeat anything of a request in the response, so that a late second copy of a response on a kept connection was taken for the response to the next call.

Change: a target may repeat fescue-call, and a response with the token of another call is ignored, as one without the required id is on the platform. A target that repeats nothing is protected as before: bytes that arrive before the next call is sent end the connection.

Measured: target_client_test.a_response_that_names_another_request_is_ignored failed before and passes; the 12 tests of target_client_test pass in 3 of 3 runs, daemon_tests (27) and platform_tests pass.

--- a/include/fescuedyke/transport/target_client.h
+++ b/include/fescuedyke/transport/target_client.h
@@ -37,6 +37,8 @@
     /// A header that the response must repeat unchanged. A response without it belongs to another
     /// request.
     std::optional<header> required_echo{};
+    /// A header that the response must repeat unchanged if it has one of this name.
+    std::optional<header> optional_echo{};
     /// Called when the request is sent again on a new connection; may be empty.
     std::function<void()> on_resent{};
 };
--- a/lib/daemon/outcome_http.cpp
+++ b/lib/daemon/outcome_http.cpp
@@ -80,6 +80,7 @@
     target_request request;
     request.request = call.request;
     request.extra_headers = {{call_header, call.token}};
+    request.optional_echo = header{call_header, call.token};
     request.may_resend = call.may_resend;
     request.may_stream_response = call.may_stream_response;
     return request;
--- a/lib/transport/target_connection.cpp
+++ b/lib/transport/target_connection.cpp
@@ -312,7 +312,7 @@
 bool target_client::connection::begin_streaming()
 {
     http_response response = reader_.take_head();
-    if (!has_required_echo(response)) {
+    if (!answers_request(response)) {
         fail(target_failure::connection_lost);
         return false;
     }
@@ -349,13 +349,13 @@
     return reader_.head_complete() ? target_failure::truncated : target_failure::connection_lost;
 }
 
-bool target_client::connection::has_required_echo(const http_response& response) const
+bool target_client::connection::answers_request(const http_response& response) const
 {
-    if (!request_.required_echo) {
-        return true;
-    }
-    const std::string* echo = find_header(response.headers, request_.required_echo->name);
-    return echo != nullptr && *echo == request_.required_echo->value;
+    const auto names = [&](const std::optional<header>& echo, bool required) {
+        const std::string* value = echo ? find_header(response.headers, echo->name) : nullptr;
+        return !echo || (value == nullptr ? !required : *value == echo->value);
+    };
+    return names(request_.required_echo, true) && names(request_.optional_echo, false);
 }
 
 void target_client::connection::update_idle_deadline()
@@ -381,7 +381,7 @@
 
 bool target_client::connection::deliver(http_response response)
 {
-    if (!has_required_echo(response)) {
+    if (!answers_request(response)) {
         // More copies may follow at any time.
         reusable_ = false;
         return false;
--- a/lib/transport/target_connection.h
+++ b/lib/transport/target_connection.h
@@ -74,11 +74,11 @@
     bool begin_streaming();
     void on_eof();
     target_failure read_failure() const;
-    bool has_required_echo(const http_response& response) const;
+    /// Returns whether \p response has the echo headers of the current request.
+    bool answers_request(const http_response& response) const;
     void update_idle_deadline();
     void reuse_or_close();
-    /// Delivers a complete response. Returns false if it lacks the required echo header, and so
-    /// belongs to another request.
+    /// Delivers a complete response. Returns false if it belongs to another request.
     bool deliver(http_response response);
     void become_idle() { owner_.on_idle(shared_from_this()); }
 
--- a/unittests/transport/target_client_test.cpp
+++ b/unittests/transport/target_client_test.cpp
@@ -58,7 +58,7 @@
         r.address = {"127.0.0.1", port};
         r.request = request;
         r.may_resend = may_resend;
-        r.required_echo = header{"Id", id};
+        (requires_echo_ ? r.required_echo : r.optional_echo) = header{"Id", id};
         r.on_resent = [this] { ++resent_; };
         target_result result = target_failure::connection_lost;
         event_loop& loop = *loop_;
@@ -101,6 +101,7 @@
     std::unique_ptr<target_client> client_ = std::make_unique<target_client>(*loop_);
     std::uint64_t next_request_ = 0;
     int resent_ = 0;
+    bool requires_echo_ = true;
     std::thread thread_;
 };
 
@@ -133,6 +134,23 @@
     client_->close_idle();
 }
 
+// Guards against a late copy of an earlier response of a target that need not name the request, but
+// does (issue 25, report 1).
+TEST_F(target_client_test, a_response_that_names_another_request_is_ignored)
+{
+    run_target({[](raw_socket& c) {
+        c.read_until("\r\n\r\n");
+        c.send("HTTP/1.1 200 OK\r\nContent-Length: 3\r\n\r\none");
+        c.read_until("\r\n\r\n");
+        c.send(make_response_text("1", "late") + make_response_text("2", "two"));
+        c.read_to_end();
+    }});
+    requires_echo_ = false;
+    expect_body(send("1"), "one");
+    expect_body(send("2"), "two");
+    client_->close_idle();
+}
+
 // Guards against a refusal of an earlier attempt that is taken for the response to a later attempt
 // of the same request, because it arrives once more on a kept connection (issue 25, report 7).
 TEST_F(target_client_test, a_further_attempt_of_a_request_uses_another_connection)
