Test responses that end at any byte before their end

The test ends three responses (with a length, in chunks, behind an interim response) at each of their bytes; every one is a failure.

--- a/unittests/transport/target_client_test.cpp
+++ b/unittests/transport/target_client_test.cpp
@@ -237,6 +237,31 @@
     expect_failure(send("5"), target_failure::connection_lost);
 }
 
+// Guards against a response that ends within its head or body and is delivered as complete (issue
+// 25, report 8). Prevented by the response reader, which delivers only complete messages.
+TEST_F(target_client_test, a_response_that_ends_at_any_byte_before_its_end_is_a_failure)
+{
+    const std::vector<std::string> responses = {
+        make_response_text("1", "four"),
+        "HTTP/1.1 200 OK\r\nId: 1\r\nTransfer-Encoding: chunked\r\n\r\n4\r\nfour\r\n0\r\n\r\n",
+        "HTTP/1.1 100 Continue\r\n\r\nHTTP/1.1 200 OK\r\nId: 1\r\nContent-Length: 0\r\n\r\n"};
+    std::vector<script> scripts;
+    for (const std::string& response : responses) {
+        for (std::size_t end = 0; end < response.size(); ++end) {
+            scripts.emplace_back([part = response.substr(0, end)](raw_socket& c) {
+                c.read_until("\r\n\r\n");
+                c.send(part);
+            });
+        }
+    }
+    const std::size_t count = scripts.size();
+    run_target(std::move(scripts));
+    for (std::size_t i = 0; i < count; ++i) {
+        const target_result result = send("1");
+        EXPECT_TRUE(std::holds_alternative<target_failure>(result)) << "response " << i;
+    }
+}
+
 TEST_F(target_client_test, an_early_response_is_delivered_and_the_rest_of_the_request_is_sent)
 {
     constexpr std::size_t body = 8U << 20U;
