Leave connections waiting while the process has no descriptor

Cause: if a connection could not be accepted for lack of descriptors or memory, the listening socket stayed readable, and every iteration of the event loop tried again: the process used up its processor and read its other sockets late.

The servers for callers and for nodes share one connection_listener, where each had its own copy of the loop that accepts.

--- a/include/fescuedyke/transport/http_server.h
+++ b/include/fescuedyke/transport/http_server.h
@@ -3,6 +3,7 @@
 
 #include "fescuedyke/call/message.h"
 #include "fescuedyke/support/ids.h"
+#include "fescuedyke/transport/connection_listener.h"
 #include "fescuedyke/transport/event_loop.h"
 #include "fescuedyke/transport/http_codec.h"
 #include "fescuedyke/transport/socket.h"
@@ -95,7 +96,9 @@
     /// Ends the connections that are idle and on which no further request has arrived.
     void close_idle();
     /// Stops accepting connections.
-    void stop_listening();
+    void stop_listening() { listener_.stop(); }
+    /// Returns how often a connection could not be accepted for lack of descriptors or memory.
+    std::uint64_t failed_accepts() const { return listener_.failed_accepts(); }
 
     /// Returns the bytes reserved for request bodies over all connections.
     std::uint64_t buffered_bytes() const { return buffered_bytes_; }
@@ -116,14 +119,14 @@
 private:
     class connection;
 
-    void accept_connections();
+    void add_connection(int fd);
     void remove_connection(std::uint64_t id);
     void check_timeouts();
 
     event_loop& loop_;
     http_limits limits_;
     handlers handlers_;
-    int fd_ = -1;
+    connection_listener listener_{loop_, [this](int fd) { add_connection(fd); }};
     bool draining_ = false;
     bool timeout_check_scheduled_ = false;
     std::uint64_t buffered_bytes_ = 0;
--- a/include/fescuedyke/transport/peer_server.h
+++ b/include/fescuedyke/transport/peer_server.h
@@ -1,6 +1,7 @@
 #ifndef FESCUEDYKE_TRANSPORT_PEER_SERVER_H
 #define FESCUEDYKE_TRANSPORT_PEER_SERVER_H
 
+#include "fescuedyke/transport/connection_listener.h"
 #include "fescuedyke/transport/h2_connection.h"
 
 #include <cstdint>
@@ -53,6 +54,8 @@
     /// Returns whether all requests were answered and all responses were sent.
     bool idle() const { return open_streams() == 0 && connections_with_unsent_bytes() == 0; }
     std::size_t connections() const { return sessions_.size(); }
+    /// Returns how often a connection could not be accepted for lack of descriptors or memory.
+    std::uint64_t failed_accepts() const { return listener_.failed_accepts(); }
 
     /// Stops accepting connections and tells all peers to send no more requests.
     void shut_down();
@@ -60,12 +63,12 @@
 private:
     class session;
 
-    void accept_connections();
+    void add_connection(int fd);
     void remove_session(std::uint64_t id);
 
     event_loop& loop_;
     handlers handlers_;
-    int fd_ = -1;
+    connection_listener listener_{loop_, [this](int fd) { add_connection(fd); }};
     std::uint64_t next_session_ = 1;
     std::uint64_t next_stream_ = 1;
     std::map<std::uint64_t, std::shared_ptr<session>> sessions_;
--- a/lib/transport/http_server.cpp
+++ b/lib/transport/http_server.cpp
@@ -4,9 +4,6 @@
 
 #include <algorithm>
 #include <cassert>
-#include <sys/epoll.h>
-#include <sys/socket.h>
-#include <unistd.h>
 #include <utility>
 
 namespace fescuedyke {
@@ -57,32 +54,22 @@
 
 absl::Status http_server::listen(const endpoint& address)
 {
-    if (absl::Status listening = listen_on(address, fd_); !listening.ok()) {
-        return listening;
-    }
-    loop_.watch(fd_, EPOLLIN, [this](std::uint32_t) { accept_connections(); });
-    return absl::OkStatus();
+    return listener_.listen(address);
 }
 
-void http_server::accept_connections()
+void http_server::add_connection(int fd)
 {
-    for (;;) {
-        const int fd = ::accept4(fd_, nullptr, nullptr, SOCK_NONBLOCK | SOCK_CLOEXEC);
-        if (fd < 0) {
-            return;
-        }
-        const std::uint64_t id = next_connection_++;
-        const auto added = std::make_shared<connection>(*this, id, fd);
-        connections_[id] = added;
-        added->start();
-        if (!timeout_check_scheduled_) {
-            timeout_check_scheduled_ = true;
-            loop_.run_after(timeout_check_period, [this, alive = alive_] {
-                if (*alive) {
-                    check_timeouts();
-                }
-            });
-        }
+    const std::uint64_t id = next_connection_++;
+    const auto added = std::make_shared<connection>(*this, id, fd);
+    connections_[id] = added;
+    added->start();
+    if (!timeout_check_scheduled_) {
+        timeout_check_scheduled_ = true;
+        loop_.run_after(timeout_check_period, [this, alive = alive_] {
+            if (*alive) {
+                check_timeouts();
+            }
+        });
     }
 }
 
@@ -169,13 +156,4 @@
     }
 }
 
-void http_server::stop_listening()
-{
-    if (fd_ >= 0) {
-        loop_.unwatch(fd_);
-        ::close(fd_);
-        fd_ = -1;
-    }
-}
-
 } // namespace fescuedyke
--- a/lib/transport/peer_server.cpp
+++ b/lib/transport/peer_server.cpp
@@ -1,9 +1,6 @@
 #include "fescuedyke/transport/peer_server.h"
 
 #include <algorithm>
-#include <sys/epoll.h>
-#include <sys/socket.h>
-#include <unistd.h>
 #include <utility>
 
 namespace fescuedyke {
@@ -61,33 +58,17 @@
 {
 }
 
-peer_server::~peer_server()
-{
-    if (fd_ >= 0) {
-        loop_.unwatch(fd_);
-        ::close(fd_);
-    }
-}
+peer_server::~peer_server() = default;
 
 absl::Status peer_server::listen(const endpoint& address)
 {
-    if (absl::Status listening = listen_on(address, fd_); !listening.ok()) {
-        return listening;
-    }
-    loop_.watch(fd_, EPOLLIN, [this](std::uint32_t) { accept_connections(); });
-    return absl::OkStatus();
+    return listener_.listen(address);
 }
 
-void peer_server::accept_connections()
+void peer_server::add_connection(int fd)
 {
-    for (;;) {
-        const int fd = ::accept4(fd_, nullptr, nullptr, SOCK_NONBLOCK | SOCK_CLOEXEC);
-        if (fd < 0) {
-            return;
-        }
-        const std::uint64_t id = next_session_++;
-        sessions_[id] = std::make_shared<session>(*this, id, fd);
-    }
+    const std::uint64_t id = next_session_++;
+    sessions_[id] = std::make_shared<session>(*this, id, fd);
 }
 
 void peer_server::remove_session(std::uint64_t id)
@@ -134,11 +115,7 @@
 
 void peer_server::shut_down()
 {
-    if (fd_ >= 0) {
-        loop_.unwatch(fd_);
-        ::close(fd_);
-        fd_ = -1;
-    }
+    listener_.stop();
     for (const auto& [id, s] : sessions_) {
         s->connection().shut_down();
     }
