Export how often connections waited for a descriptor

The gauge fescuedyke_node{what="failed_accepts"} counts accepts that failed for lack of descriptors or memory, of callers and of nodes. Operators saw nothing of them before.

--- a/include/fescuedyke/daemon/traffic_metrics.h
+++ b/include/fescuedyke/daemon/traffic_metrics.h
@@ -28,6 +28,8 @@
     std::size_t open_inbound = 0;
     std::size_t peer_connections = 0;
     std::uint64_t target_connections_made = 0;
+    /// Connections of callers and nodes that waited for lack of descriptors or memory.
+    std::uint64_t failed_accepts = 0;
     std::uint64_t decision_lines_suppressed = 0;
     std::uint64_t log_lines_dropped = 0;
     std::uint64_t body_bytes_held = 0;
--- a/lib/daemon/traffic_metrics.cpp
+++ b/lib/daemon/traffic_metrics.cpp
@@ -87,6 +87,7 @@
     node_gauges_.set({"peer_connections"}, static_cast<double>(gauges.peer_connections));
     node_gauges_.set({"target_connections_made"},
                      static_cast<double>(gauges.target_connections_made));
+    node_gauges_.set({"failed_accepts"}, static_cast<double>(gauges.failed_accepts));
     node_gauges_.set({"decision_lines_suppressed"},
                      static_cast<double>(gauges.decision_lines_suppressed));
     node_gauges_.set({"log_lines_dropped"}, static_cast<double>(gauges.log_lines_dropped));
--- a/lib/daemon/traffic_runtime.cpp
+++ b/lib/daemon/traffic_runtime.cpp
@@ -172,6 +172,7 @@
     gauges.open_inbound = core_.inbound().open_calls();
     gauges.peer_connections = peers_.connections();
     gauges.target_connections_made = target_.connections_made();
+    gauges.failed_accepts = http_.failed_accepts() + server_.failed_accepts();
     gauges.decision_lines_suppressed = decision_log_.suppressed();
     gauges.log_lines_dropped = log_lines_dropped();
     gauges.body_bytes_held = http_.buffered_bytes();
