--- a/include/fescuedyke/node/events.h
+++ b/include/fescuedyke/node/events.h
@@ -108,7 +108,7 @@
     target_failure failure = target_failure::connection_lost;
 };
 
-/// A dispatched call was sent again on a new connection, because its kept one had broken. The
+/// A dispatched call was sent again on a new connection, because its reused one had broken. The
 /// target may have received it twice.
 struct target_call_resent {
     inbound_id call;
--- a/include/fescuedyke/transport/connection_listener.h
+++ b/include/fescuedyke/transport/connection_listener.h
@@ -35,7 +35,7 @@
 private:
     void watch();
     void accept_connections();
-    /// Stops to accept connections for some time.
+    /// Accepts no connections for some time.
     void pause();
 
     event_loop& loop_;
