Count the idle time of a connection from the end of its request

What callers saw: nothing; found while the failed test of an early response was traced.

Cause: the idle time of a connection to a target was counted from the delivery of the response. If the response came early and the rest of the request took more than 1 s, the connection was not reused for a request that must not be resent, though the target's idle time had only begun.

Change: the idle deadline is set where the connection becomes idle, in one place instead of two.

Conclusion: mended; a connection less is opened after such a request, nothing else changes.

--- a/lib/transport/target_connection.cpp
+++ b/lib/transport/target_connection.cpp
@@ -244,7 +244,6 @@
     response_body_->finish();
     response_body_.reset();
     reusable_ = reusable_ && reader_.keep_alive() && input_.empty();
-    update_idle_deadline();
     reuse_or_close();
 }
 
@@ -358,13 +357,14 @@
     return names(request_.required_echo, true) && names(request_.optional_echo, false);
 }
 
-void target_client::connection::update_idle_deadline()
+void target_client::connection::become_idle()
 {
     const instant now = owner_.loop_.now().now;
     const millis timeout = reader_.server_idle_timeout() > millis(0) ? reader_.server_idle_timeout()
                                                                      : default_idle_timeout;
     idle_deadline_ = now + std::max(millis(0), timeout - idle_margin);
     last_used_ = now;
+    owner_.on_idle(shared_from_this());
 }
 
 void target_client::connection::reuse_or_close()
@@ -387,7 +387,6 @@
         return false;
     }
     reusable_ = reusable_ && reader_.keep_alive() && input_.empty();
-    update_idle_deadline();
     response_delivered_ = true;
     const callback done = std::exchange(done_, nullptr);
     const std::shared_ptr<connection> self = shared_from_this();
--- a/lib/transport/target_connection.h
+++ b/lib/transport/target_connection.h
@@ -76,11 +76,11 @@
     target_failure read_failure() const;
     /// Returns whether \p response has the echo headers of the current request.
     bool answers_request(const http_response& response) const;
-    void update_idle_deadline();
     void reuse_or_close();
     /// Delivers a complete response. Returns false if it belongs to another request.
     bool deliver(http_response response);
-    void become_idle() { owner_.on_idle(shared_from_this()); }
+    /// Makes the connection available for the next request, from now until its idle deadline.
+    void become_idle();
 
     void fail(target_failure failure);
     /// Returns whether the connection has served an earlier request.
--- a/unittests/transport/target_client_test.cpp
+++ b/unittests/transport/target_client_test.cpp
@@ -326,6 +326,13 @@
     EXPECT_EQ(connections_with_an_early_response(millis(0)), 1U);
 }
 
+// Guards against a connection that is not reused although it has just become idle, because its idle
+// time is counted from an early response and not from the end of the request.
+TEST_F(target_client_test, a_connection_is_idle_from_the_end_of_its_request_on)
+{
+    EXPECT_EQ(connections_with_an_early_response(millis(2000)), 1U);
+}
+
 TEST_F(target_client_test,
        a_request_that_must_not_be_resent_is_sent_once_when_its_connection_breaks)
 {
