Copy the account reports of ended processes to all members

Cause: a process reports its account to two members. The killed process had reported to c1 and c3; then c1 lost its disk, got a new one, and c3 was killed. The members that were left, c1 and c2, held no report of the ended process, and the account left it out, without a gap. Ruled out: load (the machine was quiet), the changes of this work (the store of accounts is older).

Change: a member copies what it holds of a source that has not reported to it for 5 s to all other members, and again to a member whose disk was replaced; the receiver confirms a copy after its flush, an unconfirmed copy is sent again after 1 s. The copy has the counts of earlier times, so that a range of time gives the same on every member; it also adds those that a member lacks because the process selected it later.

Remains: a report less than 5 s old is on two members only.

--- a/bench/cluster/cluster.cpp
+++ b/bench/cluster/cluster.cpp
@@ -177,6 +177,18 @@
         if (const auto* a = std::get_if<answer_member_sync>(&action)) {
             (void)a;
         }
+        if (const auto* a = std::get_if<send_account_copies>(&action)) {
+            const std::uint64_t request = next_request_++;
+            sent_copies_[request] = {name, a->member, a->copies.number};
+            send(name, member_at(a->address),
+                 account_copies_received{request_id(request), a->copies});
+        }
+        if (const auto* a = std::get_if<answer_account_copies>(&action)) {
+            const sent_copies& sent = sent_copies_.at(a->request.value());
+            if (a->reply.stored) {
+                send(name, sent.from, account_copies_stored{sent.to, sent.number});
+            }
+        }
         if (const auto* a = std::get_if<answer_change>(&action)) {
             answers_[a->request.value()] = *a;
         }
--- a/bench/cluster/cluster.h
+++ b/bench/cluster/cluster.h
@@ -115,6 +115,12 @@
         /// Members that it knows at its start; empty means all members.
         std::vector<std::string> seeds;
     };
+    /// Copies of account reports on their way to \p to.
+    struct sent_copies {
+        std::string from;
+        member_id to;
+        std::uint64_t number = 0;
+    };
     struct queued_message {
         std::string from;
         std::string to;
@@ -143,6 +149,7 @@
     std::optional<std::uint64_t> stop_at_answer_;
     std::map<std::uint64_t, answer_document> documents_;
     std::map<std::uint64_t, std::function<void(const poll_reply&)>> polls_;
+    std::map<std::uint64_t, sent_copies> sent_copies_;
     std::map<std::uint64_t, std::string> leader_by_term_;
     std::map<std::uint64_t, std::uint64_t> committed_term_by_index_;
     std::string violation_;
--- a/include/fescuedyke/control/account_store.h
+++ b/include/fescuedyke/control/account_store.h
@@ -27,6 +27,8 @@
     account_report latest;
     /// Reported counts, oldest first; used to answer queries for a time range.
     std::deque<std::pair<wall_time, std::map<account_key, account_row>>> history;
+    /// When this process last received a report of the source itself.
+    instant received_at;
 };
 
 /// Limits on the memory and disk space that an account_store uses.
@@ -51,9 +53,15 @@
 
     /// Stores \p report in memory if its sequence is greater than that of the last report of the
     /// same source; ignores it otherwise.
-    void on_report(const account_report& report);
+    void on_report(const account_report& report, instant now);
 
-    /// Writes the reports received since the last successful call to disk.
+    /// Stores what another member holds of a source, as far as this store lacks it: a later report,
+    /// and the counts from before the earliest that it has.
+    void on_copy(const account_copy& copy);
+
+    static account_copy make_copy(const account_entry& entry);
+
+    /// Writes what was received since the last successful call to disk.
     absl::Status flush();
 
     const std::map<account_source, account_entry>& entries() const { return entries_; }
@@ -72,6 +80,8 @@
     std::vector<account_report> unwritten_;
     /// Whether a failed write may have left an incomplete frame at the end of the file.
     bool torn_tail_ = false;
+    /// Whether a copy was received that is not on disk. Its earlier counts cannot be appended.
+    bool rewrite_is_due_ = false;
     std::size_t file_bytes_ = 0;
     /// Size of the file after the last rewrite.
     std::size_t bytes_after_rewrite_ = 0;
--- a/include/fescuedyke/control/control_core.h
+++ b/include/fescuedyke/control/control_core.h
@@ -2,6 +2,7 @@
 #define FESCUEDYKE_CONTROL_CONTROL_CORE_H
 
 #include "fescuedyke/consensus/raft_core.h"
+#include "fescuedyke/control/account_copier.h"
 #include "fescuedyke/control/account_store.h"
 #include "fescuedyke/control/control_state.h"
 #include "fescuedyke/control/member_store.h"
@@ -30,6 +31,7 @@
     membership_settings membership;
     ownership_settings ownership;
     account_store_settings accounts;
+    account_copier_settings account_copies;
     /// Number of applied log entries after which a snapshot is taken.
     std::size_t entries_per_snapshot = 256;
     millis member_sync_period{250};
@@ -72,6 +74,19 @@
     account_report report;
 };
 
+/// Another member sent copies of account reports.
+struct account_copies_received {
+    request_id request;
+    account_copies copies;
+};
+
+/// Another member has stored the copies of a send_account_copies action.
+struct account_copies_stored {
+    member_id member;
+    /// account_copies::number of the message.
+    std::uint64_t number = 0;
+};
+
 struct policy_change_requested {
     request_id request;
     policy_change change;
@@ -93,10 +108,11 @@
 /// The process is shutting down gracefully.
 struct control_stopping {};
 
-using control_event = std::variant<consensus_received, poll_received, member_sync_received,
-                                   member_sync_reply_received, account_report_received,
-                                   policy_change_requested, document_change_requested,
-                                   document_read_requested, control_tick, control_stopping>;
+using control_event =
+    std::variant<consensus_received, poll_received, member_sync_received,
+                 member_sync_reply_received, account_report_received, account_copies_received,
+                 account_copies_stored, policy_change_requested, document_change_requested,
+                 document_read_requested, control_tick, control_stopping>;
 
 struct send_consensus {
     endpoint address;
@@ -118,6 +134,17 @@
     member_sync sync;
 };
 
+struct send_account_copies {
+    endpoint address;
+    member_id member;
+    account_copies copies;
+};
+
+struct answer_account_copies {
+    request_id request;
+    account_copies_reply reply;
+};
+
 /// How far the configuration has been rolled out to the nodes of one region.
 struct region_progress {
     std::uint64_t nodes = 0;
@@ -153,8 +180,9 @@
     std::optional<endpoint> leader_api;
 };
 
-using control_action = std::variant<send_consensus, answer_poll, send_member_sync,
-                                    answer_member_sync, answer_change, answer_document>;
+using control_action =
+    std::variant<send_consensus, answer_poll, send_member_sync, answer_member_sync,
+                 send_account_copies, answer_account_copies, answer_change, answer_document>;
 using control_actions = std::vector<control_action>;
 
 /// The state machine of a control member: takes events with the time at which they occurred and
@@ -205,6 +233,8 @@
     void on(const member_sync_received& event, moment at);
     void on(const member_sync_reply_received& event, moment at);
     void on(const account_report_received& event, moment at);
+    void on(const account_copies_received& event, moment at);
+    void on(const account_copies_stored& event, moment at);
     void on(const policy_change_requested& event, moment at);
     void on(const document_change_requested& event, moment at);
     void on(const document_read_requested& event, moment at);
@@ -235,6 +265,7 @@
     member_entry self_;
     member_store& store_;
     account_store& accounts_;
+    account_copier account_copier_;
     raft_core raft_;
     control_state state_;
     lease_table leases_;
--- a/include/fescuedyke/control/control_fields.h
+++ b/include/fescuedyke/control/control_fields.h
@@ -60,6 +60,14 @@
 {
     a(x.instance, x.node_incarnation, x.owner, x.sequence, x.reported_at, x.rows, x.unknown_keys);
 }
+template <class A> void fields(A& a, account_copies& x)
+{
+    a(x.number, x.copies);
+}
+template <class A> void fields(A& a, account_copies_reply& x)
+{
+    a(x.stored);
+}
 
 } // namespace fescuedyke
 
--- a/include/fescuedyke/control/messages.h
+++ b/include/fescuedyke/control/messages.h
@@ -78,6 +78,22 @@
     std::vector<unknown_outcome> unknown_keys;
 };
 
+/// What a member stores about one source: counts at earlier times, oldest first, and at the end its
+/// latest report. The sequence numbers increase.
+using account_copy = std::vector<account_report>;
+
+/// A member passes the reports of silent sources on to another member.
+struct account_copies {
+    /// Distinguishes the messages of one sender.
+    std::uint64_t number = 0;
+    std::vector<account_copy> copies;
+};
+
+struct account_copies_reply {
+    /// Whether the receiver holds all copies on its disk.
+    bool stored = false;
+};
+
 std::string encode_poll(const node_poll& message);
 absl::StatusOr<node_poll> decode_poll(const std::string& bytes);
 std::string encode_poll_reply(const poll_reply& message);
@@ -86,6 +102,10 @@
 absl::StatusOr<member_sync> decode_member_sync(const std::string& bytes);
 std::string encode_account_report(const account_report& message);
 absl::StatusOr<account_report> decode_account_report(const std::string& bytes);
+std::string encode_account_copies(const account_copies& message);
+absl::StatusOr<account_copies> decode_account_copies(const std::string& bytes);
+std::string encode_account_copies_reply(const account_copies_reply& message);
+absl::StatusOr<account_copies_reply> decode_account_copies_reply(const std::string& bytes);
 
 } // namespace fescuedyke
 
--- a/include/fescuedyke/daemon/control_runtime.h
+++ b/include/fescuedyke/daemon/control_runtime.h
@@ -93,6 +93,8 @@
     void execute(const answer_poll& action);
     void execute(const send_member_sync& action);
     void execute(const answer_member_sync& action);
+    void execute(const send_account_copies& action);
+    void execute(const answer_account_copies& action);
     void execute(const answer_change& action);
     void execute(const answer_document& action);
     void on_request(peer_stream_id stream, const std::string& path, const std::string& body);
--- a/lib/control/account_store.cpp
+++ b/lib/control/account_store.cpp
@@ -86,18 +86,66 @@
     entry.latest = report;
 }
 
-void account_store::on_report(const account_report& report)
+void account_store::on_report(const account_report& report, instant now)
 {
     const auto found = entries_.find({report.instance, report.node_incarnation});
     if (found != entries_.end() && report.sequence <= found->second.latest.sequence) {
         return;
     }
     merge(report);
+    entries_[{report.instance, report.node_incarnation}].received_at = now;
     unwritten_.push_back(report);
 }
 
+void account_store::on_copy(const account_copy& copy)
+{
+    if (copy.empty() || copy.back().sequence == 0) {
+        return;
+    }
+    const account_report& latest = copy.back();
+    account_entry& entry = entries_[{latest.instance, latest.node_incarnation}];
+    const bool first = entry.latest.sequence == 0;
+    const wall_time known_from =
+        entry.history.empty() ? entry.latest.reported_at : entry.history.front().first;
+    std::deque<std::pair<wall_time, std::map<account_key, account_row>>> earlier;
+    for (std::size_t i = 0; i + 1 < copy.size(); ++i) {
+        if (first || copy[i].reported_at < known_from) {
+            earlier.emplace_back(copy[i].reported_at, copy[i].rows);
+        }
+    }
+    if (earlier.empty() && latest.sequence <= entry.latest.sequence) {
+        return;
+    }
+    entry.history.insert(entry.history.begin(), earlier.begin(), earlier.end());
+    merge(latest);
+    while (entry.history.size() > settings_.max_history_points) {
+        entry.history.pop_front();
+    }
+    rewrite_is_due_ = true;
+}
+
+account_copy account_store::make_copy(const account_entry& entry)
+{
+    account_copy copy;
+    for (const auto& [at, rows] : entry.history) {
+        account_report point = entry.latest;
+        point.reported_at = at;
+        point.rows = rows;
+        point.unknown_keys.clear();
+        // The history has fewer points than there were reports, so these sequence numbers stay
+        // below that of the latest report.
+        point.sequence = copy.size() + 1;
+        copy.push_back(std::move(point));
+    }
+    copy.push_back(entry.latest);
+    return copy;
+}
+
 absl::Status account_store::flush()
 {
+    if (rewrite_is_due_) {
+        return rewrite();
+    }
     if (unwritten_.empty()) {
         return absl::OkStatus();
     }
@@ -125,23 +173,17 @@
 {
     std::vector<account_report> all;
     for (const auto& [source, entry] : entries_) {
-        std::uint64_t sequence = 0;
-        for (const auto& [at, rows] : entry.history) {
-            account_report point = entry.latest;
-            point.reported_at = at;
-            point.rows = rows;
-            point.unknown_keys.clear();
-            // The history has fewer points than there were reports, so these sequence numbers stay
-            // below that of the latest report.
-            point.sequence = ++sequence;
-            all.push_back(std::move(point));
+        for (account_report& report : make_copy(entry)) {
+            all.push_back(std::move(report));
         }
-        all.push_back(entry.latest);
     }
     const std::string frame = make_frame(encode(all));
     if (absl::Status written = files_.replace_and_sync(accounts_file, frame); !written.ok()) {
         return written;
     }
+    unwritten_.clear();
+    torn_tail_ = false;
+    rewrite_is_due_ = false;
     file_bytes_ = frame.size();
     bytes_after_rewrite_ = frame.size();
     return absl::OkStatus();
--- a/lib/control/control_core.cpp
+++ b/lib/control/control_core.cpp
@@ -11,6 +11,7 @@
                            std::uint64_t epoch, member_store& store, account_store& accounts,
                            random_source& random)
     : settings_(settings), self_(self), store_(store), accounts_(accounts),
+      account_copier_(settings.account_copies, accounts),
       raft_(settings.raft, self, initial_members, stored.state, random),
       leases_(settings.membership, epoch), planner_(settings.ownership)
 {
@@ -284,9 +285,28 @@
 }
 
 void control_core::on(const account_report_received& event, moment at)
+{
+    accounts_.on_report(event.report, at.now);
+}
+
+void control_core::on(const account_copies_received& event, moment at)
 {
     (void)at;
-    accounts_.on_report(event.report);
+    for (const account_copy& copy : event.copies.copies) {
+        accounts_.on_copy(copy);
+    }
+    account_copies_reply reply;
+    if (disk_status_.ok()) {
+        account_flush_status_ = accounts_.flush();
+        reply.stored = account_flush_status_.ok();
+    }
+    actions_.emplace_back(answer_account_copies{event.request, reply});
+}
+
+void control_core::on(const account_copies_stored& event, moment at)
+{
+    (void)at;
+    account_copier_.on_stored(event.member, event.number);
 }
 
 template <class Change>
@@ -381,8 +401,13 @@
     }
     last_sync_at_ = now;
     for (const member_entry& m : raft_.log().members()) {
-        if (m.id.name != self_.id.name) {
-            actions_.emplace_back(send_member_sync{m.address, make_sync(m.id.name)});
+        if (m.id.name == self_.id.name) {
+            continue;
+        }
+        actions_.emplace_back(send_member_sync{m.address, make_sync(m.id.name)});
+        std::optional<account_copies> copies = account_copier_.next_message(m.id, now);
+        if (copies) {
+            actions_.emplace_back(send_account_copies{m.address, m.id, std::move(*copies)});
         }
     }
 }
--- a/lib/control/messages.cpp
+++ b/lib/control/messages.cpp
@@ -44,4 +44,24 @@
     return decode<account_report>(bytes, "account report");
 }
 
+std::string encode_account_copies(const account_copies& message)
+{
+    return encode(message);
+}
+
+absl::StatusOr<account_copies> decode_account_copies(const std::string& bytes)
+{
+    return decode<account_copies>(bytes, "account copies");
+}
+
+std::string encode_account_copies_reply(const account_copies_reply& message)
+{
+    return encode(message);
+}
+
+absl::StatusOr<account_copies_reply> decode_account_copies_reply(const std::string& bytes)
+{
+    return decode<account_copies_reply>(bytes, "account copies reply");
+}
+
 } // namespace fescuedyke
--- a/lib/daemon/control_runtime.cpp
+++ b/lib/daemon/control_runtime.cpp
@@ -23,6 +23,7 @@
 constexpr const char* poll_path = "/poll";
 constexpr const char* sync_path = "/sync";
 constexpr const char* account_path = "/account";
+constexpr const char* account_copies_path = "/account-copies";
 
 std::vector<member_seed> member_seeds(const process_settings& settings)
 {
@@ -326,6 +327,34 @@
                      {encode_member_sync(action.sync), nullptr});
 }
 
+void control_runtime::execute(const send_account_copies& action)
+{
+    const account_copies_stored stored{action.member, action.copies.number};
+    const std::size_t source_count = action.copies.copies.size();
+    peers_.send(action.address, account_copies_path,
+                {encode_account_copies(action.copies), nullptr},
+                [this, stored, source_count](peer_result result) {
+                    const auto* message = std::get_if<h2_message>(&result);
+                    if (message == nullptr) {
+                        return;
+                    }
+                    const absl::StatusOr<account_copies_reply> reply =
+                        decode_account_copies_reply(message->bytes);
+                    if (!reply.ok() || !reply->stored) {
+                        return;
+                    }
+                    write_log(log_level::info, "account-copies-stored",
+                              {{"member", stored.member.name}, {"sources", source_count}});
+                    handle(stored);
+                });
+}
+
+void control_runtime::execute(const answer_account_copies& action)
+{
+    server_->respond(peer_stream_id(action.request.value()),
+                     {encode_account_copies_reply(action.reply), nullptr});
+}
+
 void control_runtime::execute(const answer_change& action)
 {
     const auto found = pending_changes_.find(action.request);
@@ -392,6 +421,12 @@
             return;
         }
     }
+    else if (path == account_copies_path) {
+        if (absl::StatusOr<account_copies> copies = decode_account_copies(body); copies.ok()) {
+            handle(account_copies_received{request, std::move(*copies)});
+            return;
+        }
+    }
     write_log(log_level::warning, "malformed-control-request", {{"path", path}});
     server_->respond(stream, {});
 }
