Fuzz the decoders of copies of account reports

Cause: added two messages between members; the fuzz target and the property of all decoders did not reach them.

Measured: fuzz (2) and codec (9) tests pass; the long run of the fuzz target was not repeated.

--- a/bench/fuzz/decoders.cpp
+++ b/bench/fuzz/decoders.cpp
@@ -161,6 +161,8 @@
         break;
     case 6:
         (void)decode_account_report(bytes);
+        (void)decode_account_copies(bytes);
+        (void)decode_account_copies_reply(bytes);
         break;
     case 7:
         (void)parse_caller_options({{labels_header, bytes}});
--- a/unittests/codec/codec_test.cpp
+++ b/unittests/codec/codec_test.cpp
@@ -80,6 +80,8 @@
     (void)decode_poll_reply(bytes);
     (void)decode_member_sync(bytes);
     (void)decode_account_report(bytes);
+    (void)decode_account_copies(bytes);
+    (void)decode_account_copies_reply(bytes);
     (void)decode_command(bytes);
     (void)control_state::decode_snapshot(bytes);
     (void)parse_caller_options({{labels_header, bytes}});
