--- a/review/common/deployment.py
+++ b/review/common/deployment.py
@@ -196,6 +196,8 @@
         self.sequence = 0
         self.state = "ready"
         self.alive = True
+        self.beats = True
+        self._open = set()
         self._slots = threading.Semaphore(slots)
         self._listener = socket.socket()
         self._listener.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
@@ -205,18 +207,20 @@
         self._listener.listen(256)
         threading.Thread(target=self._accept, daemon=True).start()
 
-    def report(self):
+    def next_report(self):
         self.sequence += 1
-        body = {"Service": self.service, "Address": f"{self.machine.ip}:{self.machine.ports['app']}",
+        return {"Service": self.service, "Address": f"{self.machine.ip}:{self.machine.ports['app']}",
                 "Zone": self.machine.zone, "Version": "v1", "Slots": self.slots,
                 "State": self.state, "ColdLeft": "0ms", "Seq": self.sequence, "born": self.born}
+
+    def report(self):
         answer = call_json((self.machine.ip, self.machine.ports["control"]), "PUT",
-                           f"/fescuedyke/instances/{self.identity}", body)
+                           f"/fescuedyke/instances/{self.identity}", self.next_report())
         return answer is not None and 200 <= answer.status < 300
 
     def beat(self):
         def loop():
-            while self.alive:
+            while self.alive and self.beats:
                 self.report()
                 time.sleep(HEARTBEAT_S)
         threading.Thread(target=loop, daemon=True).start()
@@ -231,6 +235,7 @@
 
     def _serve(self, sock):
         rest = b""
+        self._open.add(sock)
         sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
         try:
             while self.alive:
@@ -245,6 +250,7 @@
         except OSError:
             pass
         finally:
+            self._open.discard(sock)
             sock.close()
 
     def _handle(self, request):
@@ -286,9 +292,16 @@
         lines += [f"{k}: {v}" for k, v in headers.items()]
         request.sock.sendall(("\r\n".join(lines) + "\r\n\r\n").encode() + body)
 
-    def stop(self):
+    def exit(self):
+        """The backend exits: its address refuses connections and its open ones end."""
         self.alive = False
+        self._listener.shutdown(socket.SHUT_RDWR)
         self._listener.close()
+        for sock in list(self._open):
+            try:
+                sock.shutdown(socket.SHUT_RDWR)
+            except OSError:
+                pass
 
 
 class Machine:
