--- a/review/common/deployment.py
+++ b/review/common/deployment.py
@@ -331,7 +331,8 @@
                       for i, (zone, service) in enumerate(sides)]
         self._closed = False
         atexit.register(self.close)
-        signal.signal(signal.SIGTERM, lambda *_: sys.exit(NOT_RUN))
+        for number in (signal.SIGTERM, signal.SIGINT):
+            signal.signal(number, lambda *_: sys.exit(NOT_RUN))
 
     def _ip(self, last):
         return f"127.{self._net[0]}.{self._net[1]}.{last}"
@@ -488,6 +489,9 @@
     except CannotRun as error:
         record.add("cannot-run", why=str(error))
         result = NOT_RUN
+    except Exception as error:  # A fault of the test must not look like a broken rule.
+        record.add("cannot-run", why=repr(error))
+        result = NOT_RUN
     print({HELD: "the rule held", BROKEN: "the rule was broken",
            NOT_RUN: "the case could not run"}[result])
     sys.stdout.flush()
