--- a/review/4/case.py
+++ b/review/4/case.py
@@ -6,7 +6,7 @@
 import time
 
 HERE = os.path.dirname(os.path.abspath(__file__))
-sys.path.insert(0, os.path.join(os.path.dirname(HERE), "common"))
+sys.path.insert(0, os.path.dirname(HERE))
 import deployment as d  # noqa: E402
 
 HOST, DEPOSITS, SERVICE = "inkwell4.example", "/deposits/", "bookings"
@@ -38,12 +38,15 @@
 
 
 def case(record, trouble):
-    deployment = d.Deployment([("cn-a", "gallery"), ("cn-a", SERVICE), ("cn-a", SERVICE)], record)
+    # One of eight nodes is killed: a share of 0.125.
+    deployment = d.Deployment([("cn-a", "gallery"), ("cn-a", SERVICE), ("cn-a", SERVICE)] +
+                              [("cn-b", "gallery")] * 5, record)
     deployment.start_all()
-    sender, leaving_machine, other = deployment.sides
+    sender, leaving_machine, other = deployment.sides[:3]
     leaving = d.Backend(leaving_machine, SERVICE, 16, record, None, WORK_S)
     backends = [d.Backend(sender, "gallery", 16, record), leaving,
                 d.Backend(other, SERVICE, 16, record, None, WORK_S)]
+    backends += [d.Backend(m, "gallery", 16, record) for m in deployment.sides[3:]]
     for b in backends:
         b.beat()
     route = ("r-deposits", HOST, DEPOSITS, "non_idempotent", 3000, 1200, 0, SERVICE, 2)
@@ -100,4 +103,6 @@
     return d.BROKEN if late else d.HELD
 
 
-d.run_case(HERE, case)
+# With TROUBLE=0 the same is done without the disruption.
+TROUBLE = os.environ.get("TROUBLE", "1") != "0"
+d.run_case(HERE, case, TROUBLE)
