--- a/review/1/case.py
+++ b/review/1/case.py
@@ -8,7 +8,7 @@
 import time
 
 HERE = os.path.dirname(os.path.abspath(__file__))
-sys.path.insert(0, os.path.join(os.path.dirname(HERE), "common"))
+sys.path.insert(0, os.path.dirname(HERE))
 import deployment as d  # noqa: E402
 
 ROUTE_HOST = "inkwell4.example"
@@ -119,4 +119,6 @@
     return d.HELD if read is not None and read >= newest else d.BROKEN
 
 
-d.run_case(HERE, case)
+# With TROUBLE=0 the same is done without the disruption.
+TROUBLE = os.environ.get("TROUBLE", "1") != "0"
+d.run_case(HERE, case, TROUBLE)
--- a/review/2/case.py
+++ b/review/2/case.py
@@ -8,7 +8,7 @@
 import time
 
 HERE = os.path.dirname(os.path.abspath(__file__))
-sys.path.insert(0, os.path.join(os.path.dirname(HERE), "common"))
+sys.path.insert(0, os.path.dirname(HERE))
 import deployment as d  # noqa: E402
 
 HOST, PREFIX, SERVICE = "refs9.example", "/drafts/", "references"
@@ -136,4 +136,6 @@
     return d.BROKEN if wrong else d.HELD
 
 
-d.run_case(HERE, case)
+# With TROUBLE=0 the same is done without the disruption.
+TROUBLE = os.environ.get("TROUBLE", "1") != "0"
+d.run_case(HERE, case, TROUBLE)
--- a/review/deployment.py
+++ b/review/deployment.py
@@ -19,7 +19,7 @@
 import time
 import tomllib
 
-REPOSITORY = os.path.dirname(os.path.dirname(os.path.dirname(os.path.abspath(__file__))))
+REPOSITORY = os.path.dirname(os.path.dirname(os.path.abspath(__file__)))
 ZONES = {"cn-a": "cascadia-north", "wv-a": "willamette", "ps-a": "puget",
          "cn-b": "cascadia-north", "wv-b": "willamette", "ps-b": "puget"}
 HEARTBEAT_S = 1.5
@@ -480,9 +480,8 @@
     return f"{random.getrandbits(64):016x}"
 
 
-def run_case(folder, case):
+def run_case(folder, case, trouble):
     """Runs case(record, trouble) and exits with its result."""
-    trouble = os.environ.get("TROUBLE", "1") != "0"
     record = Record(folder)
     try:
         result = case(record, trouble)
