Log a connection to a target that fails while a request is sent

The two hypotheses (the target ended its response in order; the send took the error of a reset, and the read after it saw an ordinary end) look the same.

Change: send_some() returns the error of the connection instead of a bool, and target-send-failed states the request, the target, the error and the number of bytes received. The decision log bounds the lines.

--- a/include/fescuedyke/transport/socket.h
+++ b/include/fescuedyke/transport/socket.h
@@ -8,6 +8,7 @@
 
 #include <cstdint>
 #include <string>
+#include <system_error>
 
 /// \file
 /// Non-blocking TCP sockets.
@@ -31,7 +32,9 @@
 /// The result of one attempt to read.
 enum class socket_read_result : std::uint8_t { data, would_block, eof, error };
 
-/// Reads once and appends the received bytes, at most a fixed number, to \p buffer.
+/// Reads once and appends the received bytes, at most a fixed number, to \p buffer. The failure of
+/// a connection is reported once, by the send or the read that comes first; reads after it report
+/// an ordinary end.
 socket_read_result read_some(int fd, std::string& buffer);
 
 /// Returns whether a connected socket has no bytes to read and has neither ended nor failed.
@@ -42,8 +45,9 @@
 bool has_ended(int fd);
 
 /// Sends \p bytes from \p offset on until the socket accepts no more, and advances \p offset.
-/// Returns false on a connection error.
-bool send_some(int fd, const std::string& bytes, std::size_t& offset);
+/// Returns the error of the connection, if there is one: std::errc::broken_pipe if the peer had
+/// ended the connection in order before it failed, another value if it failed without such an end.
+std::error_code send_some(int fd, const std::string& bytes, std::size_t& offset);
 
 } // namespace fescuedyke
 
--- a/include/fescuedyke/transport/target_client.h
+++ b/include/fescuedyke/transport/target_client.h
@@ -10,6 +10,7 @@
 #include <memory>
 #include <optional>
 #include <string>
+#include <system_error>
 #include <variant>
 #include <vector>
 
@@ -21,6 +22,13 @@
 /// The target's response, or the reason why there is none.
 using target_result = std::variant<http_response, target_failure>;
 
+/// The failure of a connection to a target while a request was being sent.
+struct failed_send {
+    std::error_code error;
+    /// Number of bytes received since the request was started.
+    std::uint64_t received_bytes = 0;
+};
+
 /// A request to send to a target.
 struct target_request {
     endpoint address;
@@ -41,6 +49,9 @@
     std::optional<header> optional_echo{};
     /// Called when the request is sent again on a new connection; may be empty.
     std::function<void()> on_resent{};
+    /// Called before the result of the request if its connection failed before it was sent whole;
+    /// may be empty.
+    std::function<void(const failed_send&)> on_failed_send{};
 };
 
 /// Sends requests to targets and reuses idle connections.
--- a/lib/daemon/traffic_log.cpp
+++ b/lib/daemon/traffic_log.cpp
@@ -113,6 +113,17 @@
     }
 }
 
+void traffic_runtime::log_failed_send(const http_request& request, const failed_send& failure)
+{
+    const std::string id = dialect_.request_id(request);
+    if (should_log(id, decision_kind::abnormal)) {
+        decision_log_.write("target-send-failed", id,
+                            {{"target", last_announcement_.identity},
+                             {"error", failure.error.message()},
+                             {"received_bytes", failure.received_bytes}});
+    }
+}
+
 void traffic_runtime::log_reply(const reply_call& action)
 {
     const auto found = peer_request_ids_.find(std::get<exchange_id>(action.to));
--- a/lib/daemon/traffic_runtime.cpp
+++ b/lib/daemon/traffic_runtime.cpp
@@ -398,6 +398,9 @@
     const inbound_id call = action.call;
     request.on_resent = [this, call] { handle(target_call_resent{call}); };
     dispatched_at_[call] = loop_.now().now;
+    request.on_failed_send = [this, sent = action.request](const failed_send& failure) {
+        log_failed_send(*sent, failure);
+    };
     target_.send(call.value(), request, [this, call](target_result result) {
         if (auto* response = std::get_if<http_response>(&result)) {
             const bool not_run = dialect_.reports_not_run(*response);
--- a/lib/transport/http_connection_end.cpp
+++ b/lib/transport/http_connection_end.cpp
@@ -96,7 +96,7 @@
             return;
         }
         queue_continue();
-        if (!send_some(fd_, output_, output_offset_)) {
+        if (send_some(fd_, output_, output_offset_)) {
             close(connection_end::connection_failed);
             return;
         }
--- a/lib/transport/socket.cpp
+++ b/lib/transport/socket.cpp
@@ -113,16 +113,18 @@
     return ::poll(&polled, 1, 0) > 0;
 }
 
-bool send_some(int fd, const std::string& bytes, std::size_t& offset)
+std::error_code send_some(int fd, const std::string& bytes, std::size_t& offset)
 {
     while (offset < bytes.size()) {
         const ssize_t sent = ::send(fd, bytes.data() + offset, bytes.size() - offset, MSG_NOSIGNAL);
         if (sent < 0) {
-            return errno == EAGAIN || errno == EINTR;
+            return errno == EAGAIN || errno == EINTR
+                       ? std::error_code()
+                       : std::error_code(errno, std::generic_category());
         }
         offset += static_cast<std::size_t>(sent);
     }
-    return true;
+    return {};
 }
 
 } // namespace fescuedyke
--- a/lib/transport/target_connection.cpp
+++ b/lib/transport/target_connection.cpp
@@ -146,11 +146,12 @@
         const body_state body_state =
             request_body_ ? request_body_->fill(output_) : body_state::complete;
         const std::size_t before = output_offset_;
-        const bool sent_ok =
-            body_state != body_state::aborted && send_some(fd_, output_, output_offset_);
+        const std::error_code error = body_state == body_state::aborted
+                                          ? std::error_code()
+                                          : send_some(fd_, output_, output_offset_);
         any_sent_ = any_sent_ || output_offset_ > before;
-        if (!sent_ok) {
-            on_send_failure();
+        if (error || body_state == body_state::aborted) {
+            on_send_failure(error);
             return;
         }
         if (body_state == body_state::complete) {
@@ -169,8 +170,11 @@
     update_watched_events();
 }
 
-void target_client::connection::on_send_failure()
+void target_client::connection::on_send_failure(std::error_code error)
 {
+    if (error && request_.on_failed_send) {
+        request_.on_failed_send({error, received_bytes_});
+    }
     // The socket may still contain bytes that the target sent before the connection broke.
     while (!response_delivered_ && read_once()) {
     }
--- a/lib/transport/target_connection.h
+++ b/lib/transport/target_connection.h
@@ -10,6 +10,7 @@
 #include <optional>
 #include <string>
 #include <sys/epoll.h>
+#include <system_error>
 #include <unordered_set>
 #include <utility>
 
@@ -55,8 +56,9 @@
     bool request_sent() const { return output_.empty() && !request_body_; }
 
     void flush();
-    /// Called when the rest of the request cannot be sent.
-    void on_send_failure();
+    /// Called when the rest of the request cannot be sent: the connection failed with \p error, or,
+    /// without an error, the body of the request was aborted.
+    void on_send_failure(std::error_code error);
     void update_watched_events();
     void on_readable();
     /// Reads once from the socket. Returns whether more may be read at once.
