Do not take the end of a reset connection for the end of a response

Cause: the kernel reports the failure of a connection once, to the send or the read that comes first. After a failed send the client read what had arrived, got an ordinary end, and took it for the end of the response.

Change: an end of the connection after a failed send does not end a response, unless the error is EPIPE: then the target had ended its response in order before the reset, and it is delivered.

The new test target_client_test.a_response_that_is_reset_while_its_request_is_sent_is_a_failure failed before the fix and passes with it; its counterpart for an ordered end passes before and after.

--- a/lib/transport/target_connection.cpp
+++ b/lib/transport/target_connection.cpp
@@ -175,6 +175,7 @@
     if (error && request_.on_failed_send) {
         request_.on_failed_send({error, received_bytes_});
     }
+    was_reset_ = error && error != std::errc::broken_pipe;
     // The socket may still contain bytes that the target sent before the connection broke.
     while (!response_delivered_ && read_once()) {
     }
@@ -215,7 +216,8 @@
         close();
         return false;
     }
-    if (result == socket_read_result::error) {
+    // The end of a connection after its reset does not end a response.
+    if (result == socket_read_result::error || (result == socket_read_result::eof && was_reset_)) {
         fail(read_failure());
         return false;
     }
--- a/lib/transport/target_connection.h
+++ b/lib/transport/target_connection.h
@@ -109,6 +109,8 @@
     /// Bytes to send; those before \c output_offset_ have been sent.
     std::string output_;
     std::size_t output_offset_ = 0;
+    /// Whether a send reported that the connection failed before the target had ended it.
+    bool was_reset_ = false;
     /// Whether any byte of the request has been sent.
     bool any_sent_ = false;
     /// Closes the connection if the response body is still streamed at the deadline.
--- a/unittests/transport/raw_socket.h
+++ b/unittests/transport/raw_socket.h
@@ -122,6 +122,9 @@
         }
     }
 
+    /// Ends the sending direction in order.
+    void end_sending() const { ::shutdown(fd_, SHUT_WR); }
+
     /// Closes the connection with a TCP reset.
     void reset()
     {
--- a/unittests/transport/target_client_test.cpp
+++ b/unittests/transport/target_client_test.cpp
@@ -61,6 +61,7 @@
         r.may_resend = may_resend;
         (requires_echo_ ? r.required_echo : r.optional_echo) = header{"Id", id};
         r.on_resent = [this] { ++resent_; };
+        r.on_failed_send = [this](const failed_send& failure) { failed_send_ = failure; };
         target_result result = target_failure::connection_lost;
         event_loop& loop = *loop_;
         client_->send(++next_request_, r, [&](target_result received) {
@@ -171,6 +172,36 @@
         return connections;
     }
 
+    /// Sends a long request whose target sends a response without a length and resets the
+    /// connection before it has read the rest of the request. If \p ends_first, the target ends the
+    /// response before the reset. The client learns of all of this at once.
+    target_result send_while_the_target_ends(bool ends_first)
+    {
+        std::atomic<bool> client_waits{false};
+        std::atomic<bool> was_reset{false};
+        run_target({[&, ends_first](raw_socket& c) {
+            c.read_until("\r\n\r\n");
+            loop_->post([&] {
+                client_waits = true;
+                while (!was_reset) {
+                    std::this_thread::yield();
+                }
+            });
+            while (!client_waits) {
+                std::this_thread::yield();
+            }
+            c.send("HTTP/1.1 200 OK\r\nId: 1\r\n\r\nno length");
+            if (ends_first) {
+                c.end_sending();
+            }
+            c.reset();
+            was_reset = true;
+        }});
+        // More than the buffers of both sockets hold.
+        constexpr std::size_t body = 64U << 20U;
+        return send("1", false, body);
+    }
+
     /// Counts the bytes of a body in \p read until \p length have been read.
     static void read_body(raw_socket& c, std::size_t length, std::atomic<std::size_t>& read)
     {
@@ -189,6 +220,7 @@
     std::unique_ptr<target_client> client_ = std::make_unique<target_client>(*loop_);
     std::uint64_t next_request_ = 0;
     int resent_ = 0;
+    std::optional<failed_send> failed_send_;
     bool requires_echo_ = true;
     std::thread thread_;
 };
@@ -298,6 +330,22 @@
     expect_failure(send("5"), target_failure::connection_lost);
 }
 
+// Guards against a response without a length that is delivered as complete although the connection
+// was reset on the way, because the request was still being sent and the send took the error.
+TEST_F(target_client_test, a_response_that_is_reset_while_its_request_is_sent_is_a_failure)
+{
+    expect_failure(send_while_the_target_ends(false), target_failure::truncated);
+    EXPECT_TRUE(failed_send_ && failed_send_->error == std::errc::connection_reset);
+}
+
+// Guards against a finished response that is not delivered, because its connection was reset after
+// the target had ended the response in order.
+TEST_F(target_client_test, a_response_that_ended_before_its_connection_was_reset_is_delivered)
+{
+    expect_body(send_while_the_target_ends(true), "no length");
+    EXPECT_TRUE(failed_send_ && failed_send_->error == std::errc::broken_pipe);
+}
+
 // Guards against a response that ends within its head or body and is delivered as complete (issue
 // 25, report 8). Prevented by the response reader, which delivers only complete messages.
 TEST_F(target_client_test, a_response_that_ends_at_any_byte_before_its_end_is_a_failure)
