Log the instances that wait to join the control group

Change: each member logs members-wait-to-join when the set of instances that ask it to join changes. The loop that admits them uses the same function.

--- a/include/fescuedyke/consensus/raft_core.h
+++ b/include/fescuedyke/consensus/raft_core.h
@@ -142,6 +142,8 @@
         instant last_heard;
     };
     const std::map<member_id, pending_join>& pending_joins() const { return pending_joins_; }
+    /// Returns the instances that ask to join and are not members.
+    std::vector<member_id> waiting_to_join(instant now) const;
 
 private:
     struct progress {
--- a/include/fescuedyke/daemon/control_runtime.h
+++ b/include/fescuedyke/daemon/control_runtime.h
@@ -85,6 +85,7 @@
     void execute(const subscriber_output& output);
     void log_subscription_changes();
     void log_role_changes();
+    void log_waiting_joins();
     void update_metrics();
     void send_account_report(const account_report& report, const std::string& member,
                              std::function<void()> done);
@@ -128,6 +129,7 @@
     raft_role logged_role_ = raft_role::follower;
     std::size_t logged_member_count_ = 0;
     log_term logged_term_;
+    std::vector<std::string> logged_waiting_joins_;
     std::uint64_t polls_sent_ = 0;
     std::uint64_t poll_bytes_sent_ = 0;
     std::uint64_t poll_bytes_received_ = 0;
--- a/lib/consensus/raft_members.cpp
+++ b/lib/consensus/raft_members.cpp
@@ -229,6 +229,18 @@
     return propose_members(std::move(next), now).ok();
 }
 
+std::vector<member_id> raft_core::waiting_to_join(instant now) const
+{
+    std::vector<member_id> waiting;
+    for (const auto& [id, join] : pending_joins_) {
+        const bool still_requested = now - join.last_heard < settings_.member_silence_timeout;
+        if (still_requested && find_member(id) == nullptr) {
+            waiting.push_back(id);
+        }
+    }
+    return waiting;
+}
+
 void raft_core::maintain_membership(instant now)
 {
     if (log_.members_index() > commit_index_ || log_.term_at(commit_index_) != hard_.term) {
@@ -237,12 +249,8 @@
     if (promote_learner(now)) {
         return;
     }
-    for (const auto& [id, join] : pending_joins_) {
-        const bool still_requested = now - join.last_heard < settings_.member_silence_timeout;
-        if (!still_requested || find_member(id) != nullptr) {
-            continue;
-        }
-        if (add_learner(id, join, now)) {
+    for (const member_id& id : waiting_to_join(now)) {
+        if (add_learner(id, pending_joins_.at(id), now)) {
             return;
         }
     }
--- a/lib/daemon/control_runtime.cpp
+++ b/lib/daemon/control_runtime.cpp
@@ -220,6 +220,23 @@
                {"members", member_names}});
 }
 
+void control_runtime::log_waiting_joins()
+{
+    std::vector<std::string> waiting;
+    for (const member_id& id : core_->raft().waiting_to_join(loop_.now().now)) {
+        waiting.push_back(id.name);
+    }
+    if (waiting == logged_waiting_joins_) {
+        return;
+    }
+    logged_waiting_joins_ = waiting;
+    const raft_core& raft = core_->raft();
+    write_log(log_level::info, "members-wait-to-join",
+              {{"instances", waiting},
+               {"role", to_string(raft.role())},
+               {"commit", raft.commit_index().value()}});
+}
+
 void control_runtime::execute(const subscriber_output& output)
 {
     for (const outgoing_poll& p : output.polls) {
@@ -257,6 +274,7 @@
     loop_.run_after(member_tick_period, [this] { on_member_tick(); });
     handle(control_tick{});
     log_role_changes();
+    log_waiting_joins();
     disk_status_log_.on_status(core_->disk_status());
     account_flush_status_log_.on_status(core_->account_flush_status());
     update_metrics();
