Maintain the membership of the control group while changes come quickly

Cause: the leader maintained the membership only when it had sent no broadcast for a heartbeat interval of 100 ms. Each change and each commit broadcasts, so that changes that come more often put the maintenance off without end: no instance was taken in, and no lost one was replaced.

Change: the maintenance has its own time stamp.

--- a/include/fescuedyke/consensus/raft_core.h
+++ b/include/fescuedyke/consensus/raft_core.h
@@ -225,6 +225,7 @@
     std::uint64_t current_round_ = 0;
     instant quorum_confirmed_at_;
     instant last_broadcast_;
+    instant last_maintenance_;
     instant last_join_request_;
     std::map<member_id, pending_join> pending_joins_;
     /// Address of the latest known leader, which this member's log need not contain.
--- a/lib/consensus/raft_core.cpp
+++ b/lib/consensus/raft_core.cpp
@@ -91,8 +91,12 @@
         become_follower(hard_.term, now);
         return;
     }
-    if (now - last_broadcast_ >= settings_.heartbeat_interval) {
+    // Changes also broadcast, and must not put off the maintenance.
+    if (now - last_maintenance_ >= settings_.heartbeat_interval) {
+        last_maintenance_ = now;
         maintain_membership(now);
+    }
+    if (now - last_broadcast_ >= settings_.heartbeat_interval) {
         broadcast(now);
     }
 }
--- a/unittests/control/group_growth_test.cpp
+++ b/unittests/control/group_growth_test.cpp
@@ -1,4 +1,4 @@
-#include "cluster/cluster.h"
+#include "growing_group.h"
 
 #include <gtest/gtest.h>
 #include <rapidcheck/gtest.h>
@@ -11,82 +11,6 @@
 
 using cluster::control_cluster;
 
-constexpr millis max_wait{20'000};
-/// Time after its return or start during which an instance counts as lost.
-constexpr millis catch_up_time{4000};
-const std::vector<std::string> seeds = {"m1", "m2", "m3"};
-
-control_settings growing_group_settings()
-{
-    control_settings settings;
-    settings.raft.desired_voters = 5;
-    settings.assigns_keys = false;
-    return settings;
-}
-
-std::set<std::string> voters_of(control_cluster& c)
-{
-    std::set<std::string> voters;
-    const auto leader = c.leader();
-    if (!leader) {
-        return voters;
-    }
-    for (const member_entry& m : c.core(*leader).raft().log().members()) {
-        if (m.voter) {
-            voters.insert(m.id.name);
-        }
-    }
-    return voters;
-}
-
-bool wait_for_voters(control_cluster& c, const std::set<std::string>& expected)
-{
-    return c.run_until(max_wait, [&] { return voters_of(c) == expected; });
-}
-
-/// Starts a group of five voters: three initial members and two that join.
-void start_group_of_five(control_cluster& c)
-{
-    ASSERT_TRUE(c.add_member("m4", seeds, true).ok());
-    ASSERT_TRUE(c.add_member("m5", seeds, true).ok());
-    ASSERT_TRUE(wait_for_voters(c, {"m1", "m2", "m3", "m4", "m5"}));
-    c.end_bootstrap();
-}
-
-document_change make_document_change(std::uint64_t based_on, std::uint64_t version,
-                                     const std::string& text)
-{
-    document_change change;
-    change.based_on = based_on;
-    change.version = version;
-    change.text = std::make_shared<const std::string>(text);
-    change.change_id = std::to_string(based_on) + text;
-    return change;
-}
-
-/// Sends the change to the current leader and retries until it is committed, as an operator does.
-/// Returns nullopt if it is not committed in time.
-std::optional<change_result> commit_change(control_cluster& c, const document_change& change)
-{
-    static std::uint64_t last_request = 1'000'000;
-    std::optional<change_result> result;
-    c.run_until(max_wait, [&] {
-        const auto leader = c.leader();
-        if (!leader) {
-            return false;
-        }
-        const std::uint64_t request = ++last_request;
-        c.propose_document(*leader, request, change);
-        c.run_until(millis(1000), [&] { return c.answers().count(request) != 0; });
-        const auto found = c.answers().find(request);
-        if (found != c.answers().end() && found->second.outcome == change_outcome::committed) {
-            result = found->second.result;
-        }
-        return result.has_value();
-    });
-    return result;
-}
-
 /// Partitions leaders until a member that is not a seed leads. Returns its name, or "" on failure.
 std::string elect_joined_member(control_cluster& c)
 {
@@ -117,8 +41,8 @@
 {
     for (std::uint64_t seed = 65843; seed < 65843 + 100; ++seed) {
         control_cluster c(3, seed, growing_group_settings());
-        ASSERT_TRUE(c.add_member("m4", seeds, true).ok());
-        ASSERT_TRUE(c.add_member("m5", seeds, true).ok());
+        ASSERT_TRUE(c.add_member("m4", group_seeds(), true).ok());
+        ASSERT_TRUE(c.add_member("m5", group_seeds(), true).ok());
         ASSERT_TRUE(c.run_until(catch_up_time, [&] { return voters_of(c).size() == 5; }))
             << "seed " << seed;
     }
@@ -132,7 +56,7 @@
     const std::string leader = elect_joined_member(c);
     ASSERT_NE(leader, "");
     c.crash("m1");
-    ASSERT_TRUE(c.add_member("m6", seeds, false).ok());
+    ASSERT_TRUE(c.add_member("m6", group_seeds(), false).ok());
     EXPECT_TRUE(c.run_until(max_wait, [&] { return c.core("m6").state().document().version == 3; }))
         << "leader: " << leader;
     EXPECT_EQ(c.violation(), "");
@@ -164,7 +88,7 @@
     control_cluster c(3, 14, growing_group_settings());
     start_group_of_five(c);
     c.crash("m2");
-    ASSERT_TRUE(c.add_member("m6", seeds, false).ok());
+    ASSERT_TRUE(c.add_member("m6", group_seeds(), false).ok());
     EXPECT_TRUE(wait_for_voters(c, {"m1", "m3", "m4", "m5", "m6"}));
     ASSERT_TRUE(c.start("m2").ok());
     // It learns that it was removed from the group and rejoins as a learner, which can replace a
@@ -178,19 +102,6 @@
     EXPECT_EQ(c.violation(), "");
 }
 
-/// Returns whether the current leader lists the disk that the instance has now as that of a voter.
-bool votes_with_its_disk(control_cluster& c, const std::string& name)
-{
-    const auto leader = c.leader();
-    if (!leader || !c.is_up(name)) {
-        return false;
-    }
-    const member_list& members = c.core(*leader).raft().log().members();
-    return std::any_of(members.begin(), members.end(), [&](const member_entry& m) {
-        return m.voter && m.id == c.core(name).raft().self();
-    });
-}
-
 /// Ends the leader's process and starts it again one second later.
 void restart_leader(control_cluster& c)
 {
