Give a new disk its vote while the log is busy

Cause: a learner counted as caught up if it lacked at most four entries. Until the reply of a member that lacks none arrives, a log with many changes grows by more, so that it never counted.

Change: a learner also counts if it took less than an election timeout to get all entries that the log had at the start of a round, and the current round is not older than that.

Measured: group_repair.a_lost_disk_is_replaced_while_many_operators_make_changes with 5 changes each 10 ms failed before and passes now; the other 15 tests of group_repair and group_growth pass.

--- a/include/fescuedyke/consensus/raft_core.h
+++ b/include/fescuedyke/consensus/raft_core.h
@@ -155,6 +155,12 @@
         /// Send time of the latest heartbeat round that the member has confirmed.
         instant confirmed_round_sent_at;
         std::uint64_t snapshot_offset = 0;
+        /// Last index of the log at \c catch_up_started_at. The member catches up in rounds: each
+        /// ends when the member has the entries that the log had at its start.
+        log_index catch_up_index;
+        instant catch_up_started_at;
+        /// Whether the last round took less than an election timeout.
+        bool caught_up_in_time = false;
     };
 
     void handle(const member_id& from, const vote_request& m, instant now);
@@ -170,6 +176,7 @@
     void start_election(bool pre_vote, bool leadership_transfer, instant now);
     void send_join_requests(instant now);
     bool is_caught_up(const member_id& id, instant now);
+    void update_catch_up(progress& p, instant now) const;
     bool needs_vote_of(const member_entry& learner, instant now) const;
     bool promote_learner(instant now);
     bool may_remove(const member_entry& m, instant now);
--- a/lib/consensus/raft_members.cpp
+++ b/lib/consensus/raft_members.cpp
@@ -124,9 +124,23 @@
 bool raft_core::is_caught_up(const member_id& id, instant now)
 {
     const progress& p = progress_[id];
-    return p.match >= log_index(1) &&
-           p.match.value() + max_learner_lag_entries >= log_.last_index().value() &&
-           now - p.last_heard < settings_.election_timeout;
+    if (p.match < log_index(1) || now - p.last_heard >= settings_.election_timeout) {
+        return false;
+    }
+    // A busy log grows by many entries until the reply of a member arrives that lacks none.
+    const bool keeps_up =
+        p.caught_up_in_time && now - p.catch_up_started_at < settings_.election_timeout;
+    return keeps_up || p.match.value() + max_learner_lag_entries >= log_.last_index().value();
+}
+
+void raft_core::update_catch_up(progress& p, instant now) const
+{
+    if (p.match < p.catch_up_index) {
+        return;
+    }
+    p.caught_up_in_time = now - p.catch_up_started_at < settings_.election_timeout;
+    p.catch_up_index = log_.last_index();
+    p.catch_up_started_at = now;
 }
 
 bool raft_core::needs_vote_of(const member_entry& learner, instant now) const
--- a/lib/consensus/raft_replication.cpp
+++ b/lib/consensus/raft_replication.cpp
@@ -182,6 +182,7 @@
         p.match = m.index;
     }
     p.next = log_index(std::max(p.next.value(), p.match.value() + 1));
+    update_catch_up(p, now);
     advance_commit(now);
     const member_entry* member = find_member(from);
     if (member != nullptr && p.next <= log_.last_index() && p.match >= log_.base().index) {
--- a/unittests/control/group_repair_test.cpp
+++ b/unittests/control/group_repair_test.cpp
@@ -121,5 +121,18 @@
     EXPECT_EQ(c.violation(), "");
 }
 
+// Guards against a new disk that never counts as caught up, because the log grows by more entries
+// than it may lack before its reply arrives.
+TEST(group_repair, a_lost_disk_is_replaced_while_many_operators_make_changes)
+{
+    control_cluster c(3, 32, growing_group_settings());
+    start_group_of_five(c);
+    c.set_faults({0, 0, millis(40)});
+    operators o(c, millis(10), 5);
+    ASSERT_NO_FATAL_FAILURE(lose_disk(c, o, "m1"));
+    EXPECT_TRUE(o.run_until(catch_up_time, [&] { return votes_with_its_disk(c, "m1"); }));
+    EXPECT_EQ(c.violation(), "");
+}
+
 } // namespace
 } // namespace fescuedyke
