Record departures of targets before they are acknowledged

Cause: a departure was kept in the memory of one process, although its acknowledgement binds the processes after it.

Change: the control group records departures in its log (target_departure). A deregistration, or a report that a target drains, takes effect at once and is acknowledged once it is durable on a quorum.

--- a/bench/cluster/cluster.cpp
+++ b/bench/cluster/cluster.cpp
@@ -92,6 +92,12 @@
     handle(at, document_change_requested{request_id(request), change});
 }
 
+void control_cluster::send_departure(const std::string& at, std::uint64_t request,
+                                     const departure_request& message)
+{
+    handle(at, departure_received{request_id(request), message});
+}
+
 void control_cluster::read_document(const std::string& at, std::uint64_t request)
 {
     handle(at, document_read_requested{request_id(request)});
@@ -192,6 +198,9 @@
         if (const auto* a = std::get_if<answer_change>(&action)) {
             answers_[a->request.value()] = *a;
         }
+        if (const auto* a = std::get_if<answer_departure>(&action)) {
+            departure_replies_[a->request.value()] = a->reply;
+        }
         if (const auto* a = std::get_if<answer_document>(&action)) {
             documents_[a->request.value()] = *a;
         }
--- a/bench/cluster/cluster.h
+++ b/bench/cluster/cluster.h
@@ -63,6 +63,14 @@
                             bool may_bootstrap);
     /// Ends the first start of the group: members that start later may not bootstrap it.
     void end_bootstrap();
+    /// Sends a request about a departure to the member \p at; the answer appears in
+    /// departure_replies() under \p request.
+    void send_departure(const std::string& at, std::uint64_t request,
+                        const departure_request& message);
+    const std::map<std::uint64_t, departure_reply>& departure_replies() const
+    {
+        return departure_replies_;
+    }
     /// Proposes a document change at the member \p at; the answer appears in documents() under
     /// \p request.
     void propose_document(const std::string& at, std::uint64_t request,
@@ -148,6 +156,7 @@
     std::map<std::uint64_t, answer_change> answers_;
     std::optional<std::uint64_t> stop_at_answer_;
     std::map<std::uint64_t, answer_document> documents_;
+    std::map<std::uint64_t, departure_reply> departure_replies_;
     std::map<std::uint64_t, std::function<void(const poll_reply&)>> polls_;
     std::map<std::uint64_t, sent_copies> sent_copies_;
     std::map<std::uint64_t, std::string> leader_by_term_;
--- a/include/fescuedyke/control/control_core.h
+++ b/include/fescuedyke/control/control_core.h
@@ -97,6 +97,12 @@
     document_change change;
 };
 
+/// A node reports that its target leaves, or asks whether it has left.
+struct departure_received {
+    request_id request;
+    departure_request message;
+};
+
 /// An operator reads the active route document. The read is linearizable: it is answered only
 /// after a quorum has confirmed that this member leads.
 struct document_read_requested {
@@ -112,7 +118,7 @@
     std::variant<consensus_received, poll_received, member_sync_received,
                  member_sync_reply_received, account_report_received, account_copies_received,
                  account_copies_stored, policy_change_requested, document_change_requested,
-                 document_read_requested, control_tick, control_stopping>;
+                 departure_received, document_read_requested, control_tick, control_stopping>;
 
 struct send_consensus {
     endpoint address;
@@ -172,6 +178,11 @@
     std::optional<endpoint> leader_api;
 };
 
+struct answer_departure {
+    request_id request;
+    departure_reply reply;
+};
+
 /// The active route document, or the reason why it is not returned.
 struct answer_document {
     request_id request;
@@ -180,9 +191,9 @@
     std::optional<endpoint> leader_api;
 };
 
-using control_action =
-    std::variant<send_consensus, answer_poll, send_member_sync, answer_member_sync,
-                 send_account_copies, answer_account_copies, answer_change, answer_document>;
+using control_action = std::variant<send_consensus, answer_poll, send_member_sync,
+                                    answer_member_sync, send_account_copies, answer_account_copies,
+                                    answer_departure, answer_change, answer_document>;
 using control_actions = std::vector<control_action>;
 
 /// The state machine of a control member: takes events with the time at which they occurred and
@@ -237,6 +248,7 @@
     void on(const account_copies_stored& event, moment at);
     void on(const policy_change_requested& event, moment at);
     void on(const document_change_requested& event, moment at);
+    void on(const departure_received& event, moment at);
     void on(const document_read_requested& event, moment at);
     void on(const control_tick& event, moment at);
     void on(const control_stopping& event, moment at);
@@ -245,6 +257,11 @@
     void propose_change(request_id request, const Change& change, instant now);
     template <class Change> void apply_change(const Change& change);
     void answer_pending_reads(instant now);
+    /// Returns whether this member leads and has applied all that any leader has committed.
+    bool knows_all_commits(instant now) const;
+    departure_reply make_departure_reply(bool decided, bool departed) const;
+    void answer_recorded_departures();
+    void time_out_departures(instant now);
     bool persist(const raft_output& output, instant now);
     void run_raft(instant now);
     void restore(const snapshot& base);
@@ -277,6 +294,12 @@
     /// Reads waiting for a quorum to confirm that this member was still the leader after the read
     /// was received.
     std::vector<pending_request> pending_reads_;
+    struct pending_departure {
+        pending_request request;
+        target_departure departure;
+    };
+    /// Departures that this member proposed and that are not recorded yet.
+    std::vector<pending_departure> pending_departures_;
     /// Output that could not be written to disk and will be retried.
     std::optional<raft_output> unpersisted_output_;
     instant persist_retry_at_;
--- a/include/fescuedyke/control/control_fields.h
+++ b/include/fescuedyke/control/control_fields.h
@@ -42,6 +42,18 @@
 {
     a(x.home, x.grants);
 }
+template <class A> void fields(A& a, target_departure& x)
+{
+    a(x.identity, x.started_at_ms, x.last_sequence);
+}
+template <class A> void fields(A& a, departure_request& x)
+{
+    a(x.departure, x.leaves);
+}
+template <class A> void fields(A& a, departure_reply& x)
+{
+    a(x.decided, x.departed, x.leader);
+}
 template <class A> void fields(A& a, node_poll& x)
 {
     a(x.record, x.active_config_version, x.owners_version, x.view_epoch, x.view_version,
--- a/include/fescuedyke/control/control_state.h
+++ b/include/fescuedyke/control/control_state.h
@@ -2,6 +2,7 @@
 #define FESCUEDYKE_CONTROL_CONTROL_STATE_H
 
 #include "fescuedyke/call/message.h"
+#include "fescuedyke/membership/target_departure.h"
 #include "fescuedyke/once/ownership.h"
 #include "fescuedyke/support/ids.h"
 
@@ -98,7 +99,8 @@
     std::vector<grant> grants;
 };
 
-using control_command = std::variant<policy_change, owner_change, document_change>;
+using control_command =
+    std::variant<policy_change, owner_change, document_change, target_departure>;
 
 /// Returns a key that identifies a policy among those of all owners.
 std::string policy_key(const owner_name& owner, const std::string& name);
@@ -111,6 +113,11 @@
     change_result apply(const policy_change& change);
     void apply(const owner_change& change);
     change_result apply(const document_change& change);
+    /// Records the departure. The oldest one is forgotten when there are too many.
+    void apply(const target_departure& departure);
+
+    /// Returns whether a recorded departure covers \p departure.
+    bool has_departed(const target_departure& departure) const;
 
     /// Returns the stored result of the change with this id, or nullptr.
     const change_result* find_result(const std::string& change_id) const;
@@ -137,6 +144,10 @@
     std::map<std::string, change_result> results_;
     /// Change ids of results_, oldest first.
     std::deque<std::string> result_order_;
+    /// The latest departure of each identity, and the identities in the order in which they were
+    /// first recorded.
+    std::map<std::string, target_departure> departures_;
+    std::deque<std::string> departure_order_;
 };
 
 std::string encode_command(const control_command& command);
--- a/include/fescuedyke/control/messages.h
+++ b/include/fescuedyke/control/messages.h
@@ -5,6 +5,7 @@
 #include "fescuedyke/consensus/messages.h"
 #include "fescuedyke/control/control_state.h"
 #include "fescuedyke/membership/node_record.h"
+#include "fescuedyke/membership/target_departure.h"
 
 #include <absl/status/statusor.h>
 
@@ -56,6 +57,23 @@
     std::optional<millis> lease;
 };
 
+/// A node reports that its target leaves, or asks whether it has left. Only the leader decides.
+struct departure_request {
+    target_departure departure;
+    /// Whether the departure is to be recorded. Otherwise the node only asks whether one is
+    /// recorded that covers it.
+    bool leaves = false;
+};
+
+struct departure_reply {
+    /// Whether the rest of the reply is valid: a leader answered that knows all committed changes.
+    bool decided = false;
+    /// Whether a departure that covers the one of the request is durable on a quorum.
+    bool departed = false;
+    /// Name of the leader; empty while there is none.
+    std::string leader;
+};
+
 /// Changes to the nodes whose leases the sending member holds. The receiver replies with a message
 /// of the same type about the nodes whose leases it holds.
 struct member_sync {
@@ -100,6 +118,10 @@
 absl::StatusOr<poll_reply> decode_poll_reply(const std::string& bytes);
 std::string encode_member_sync(const member_sync& message);
 absl::StatusOr<member_sync> decode_member_sync(const std::string& bytes);
+std::string encode_departure_request(const departure_request& message);
+absl::StatusOr<departure_request> decode_departure_request(const std::string& bytes);
+std::string encode_departure_reply(const departure_reply& message);
+absl::StatusOr<departure_reply> decode_departure_reply(const std::string& bytes);
 std::string encode_account_report(const account_report& message);
 absl::StatusOr<account_report> decode_account_report(const std::string& bytes);
 std::string encode_account_copies(const account_copies& message);
--- a/include/fescuedyke/daemon/control_runtime.h
+++ b/include/fescuedyke/daemon/control_runtime.h
@@ -7,6 +7,7 @@
 #include "fescuedyke/settings/process_settings.h"
 #include "fescuedyke/storage/posix_file_system.h"
 #include "fescuedyke/subscription/config_subscriber.h"
+#include "fescuedyke/subscription/departure_client.h"
 #include "fescuedyke/transport/event_loop.h"
 #include "fescuedyke/transport/peer_client.h"
 #include "fescuedyke/transport/peer_server.h"
@@ -52,6 +53,15 @@
     /// again.
     void on_account_report(const account_report& report);
 
+    /// Has the members record that a target leaves; \p done is called once, when the departure is
+    /// durable on a quorum. Repeats the request until then.
+    void record_departure(const target_departure& departure, std::function<void()> done);
+
+    /// Asks the members whether a departure is recorded that covers \p departure; \p done is called
+    /// once with the answer. Repeats the request until then. A later call replaces one that is not
+    /// answered yet, whose \p done is not called.
+    void check_departure(const target_departure& departure, std::function<void(bool)> done);
+
     /// Proposes a policy change; \p done is called once with the outcome. The process must be a
     /// member.
     void propose_change(const policy_change& change, change_callback done);
@@ -83,6 +93,8 @@
     void on_subscriber_tick();
     void on_member_tick();
     void execute(const subscriber_output& output);
+    /// Sends the requests about departures that are due.
+    void send_departures();
     void log_subscription_changes();
     void log_role_changes();
     void log_waiting_joins();
@@ -96,6 +108,7 @@
     void execute(const answer_member_sync& action);
     void execute(const send_account_copies& action);
     void execute(const answer_account_copies& action);
+    void execute(const answer_departure& action);
     void execute(const answer_change& action);
     void execute(const answer_document& action);
     void on_request(peer_stream_id stream, const std::string& path, const std::string& body);
@@ -108,6 +121,7 @@
     std::function<void(node_event)> send_to_node_;
     std::function<void(const route_document&)> on_document_;
     config_subscriber subscriber_;
+    departure_client departures_;
     peer_client peers_;
     std::unique_ptr<peer_server> server_;
     std::unique_ptr<posix_file_system> file_system_;
--- a/lib/control/control_core.cpp
+++ b/lib/control/control_core.cpp
@@ -100,6 +100,10 @@
     if (const auto* owners = std::get_if<owner_change>(&*command)) {
         state_.apply(*owners);
     }
+    if (const auto* departure = std::get_if<target_departure>(&*command)) {
+        state_.apply(*departure);
+        answer_recorded_departures();
+    }
     if (const auto* change = std::get_if<policy_change>(&*command)) {
         apply_change(*change);
     }
@@ -160,6 +164,11 @@
         }
     }
     pending_changes_.clear();
+    for (const pending_departure& p : pending_departures_) {
+        actions_.emplace_back(
+            answer_departure{p.request.request, make_departure_reply(false, false)});
+    }
+    pending_departures_.clear();
 }
 
 std::optional<endpoint> control_core::leader_api() const
@@ -182,12 +191,17 @@
     }
 }
 
+bool control_core::knows_all_commits(instant now) const
+{
+    // No other member has led since the lease was confirmed.
+    return raft_.holds_leader_lease(now) && applied_ >= first_own_entry_ && disk_status_.ok();
+}
+
 bool control_core::grants_leases(instant now) const
 {
     // Before this leader grants a lease, it must have applied every command that former leaders
     // committed, and no owner change may be pending.
-    return raft_.holds_leader_lease(now) && applied_ >= first_own_entry_ &&
-           !pending_owner_change_ && disk_status_.ok();
+    return knows_all_commits(now) && !pending_owner_change_;
 }
 
 owner_delta control_core::owners_since(std::uint64_t known) const
@@ -343,6 +357,59 @@
     propose_change(event.request, event.change, at.now);
 }
 
+departure_reply control_core::make_departure_reply(bool decided, bool departed) const
+{
+    return {decided, departed, raft_.leader() ? raft_.leader()->name : ""};
+}
+
+void control_core::on(const departure_received& event, moment at)
+{
+    const target_departure& departure = event.message.departure;
+    const bool leads = raft_.is_leader() && disk_status_.ok() && !stopping_;
+    // A recorded departure is committed, whoever knows it.
+    const bool departed = state_.has_departed(departure);
+    if (departed || !event.message.leaves || !leads) {
+        const bool decided = departed || (!event.message.leaves && knows_all_commits(at.now));
+        actions_.emplace_back(
+            answer_departure{event.request, make_departure_reply(decided, departed)});
+        return;
+    }
+    const bool already_pending =
+        std::any_of(pending_departures_.begin(), pending_departures_.end(),
+                    [&](const pending_departure& p) { return p.departure.covers(departure); });
+    pending_departures_.push_back({{event.request, at.now}, departure});
+    if (!already_pending) {
+        const absl::StatusOr<log_index> proposed = raft_.propose(encode_command(departure), at.now);
+        assert(proposed.ok() && "a leader must accept proposals");
+        (void)proposed;
+    }
+}
+
+void control_core::answer_recorded_departures()
+{
+    const auto recorded = std::stable_partition(
+        pending_departures_.begin(), pending_departures_.end(),
+        [&](const pending_departure& p) { return !state_.has_departed(p.departure); });
+    for (auto p = recorded; p != pending_departures_.end(); ++p) {
+        actions_.emplace_back(
+            answer_departure{p->request.request, make_departure_reply(true, true)});
+    }
+    pending_departures_.erase(recorded, pending_departures_.end());
+}
+
+void control_core::time_out_departures(instant now)
+{
+    const auto expired = std::stable_partition(
+        pending_departures_.begin(), pending_departures_.end(), [&](const pending_departure& p) {
+            return now - p.request.received_at < settings_.change_timeout;
+        });
+    for (auto p = expired; p != pending_departures_.end(); ++p) {
+        actions_.emplace_back(
+            answer_departure{p->request.request, make_departure_reply(false, false)});
+    }
+    pending_departures_.erase(expired, pending_departures_.end());
+}
+
 void control_core::on(const document_read_requested& event, moment at)
 {
     if (!raft_.is_leader() || !disk_status_.ok() || stopping_) {
@@ -434,6 +501,7 @@
     (void)event;
     leases_.expire(at.now);
     time_out_changes(at.now);
+    time_out_departures(at.now);
     sync_members(at.now);
     if (at.now - last_flush_at_ >= settings_.account_flush_period && disk_status_.ok()) {
         last_flush_at_ = at.now;
--- a/lib/control/control_state.cpp
+++ b/lib/control/control_state.cpp
@@ -14,6 +14,9 @@
 /// day, this covers about a month.
 constexpr std::size_t max_stored_results = 20'000;
 
+/// Maximum number of targets whose departures are kept. Reports arrive seconds late at most.
+constexpr std::size_t max_stored_departures = 1024;
+
 struct state_snapshot {
     config_version version;
     std::map<std::string, policy_record> policies;
@@ -21,11 +24,38 @@
     route_document document;
     std::map<std::string, change_result> results;
     std::vector<std::string> result_order;
+    /// Oldest first.
+    std::vector<target_departure> departures;
+};
+
+/// A snapshot of a program that did not record departures.
+struct state_snapshot_without_departures {
+    state_snapshot state;
 };
 
 template <class A> void fields(A& a, state_snapshot& x)
 {
-    a(x.version, x.policies, x.owners, x.document, x.results, x.result_order);
+    a(x.version, x.policies, x.owners, x.document, x.results, x.result_order, x.departures);
+}
+
+template <class A> void fields(A& a, state_snapshot_without_departures& x)
+{
+    state_snapshot& s = x.state;
+    a(s.version, s.policies, s.owners, s.document, s.results, s.result_order);
+}
+
+absl::StatusOr<state_snapshot> decode_state_snapshot(const std::string& bytes)
+{
+    absl::StatusOr<state_snapshot> latest = decode<state_snapshot>(bytes, "snapshot");
+    if (latest.ok()) {
+        return latest;
+    }
+    absl::StatusOr<state_snapshot_without_departures> earlier =
+        decode<state_snapshot_without_departures>(bytes, "snapshot");
+    if (!earlier.ok()) {
+        return earlier.status();
+    }
+    return std::move(earlier->state);
 }
 
 } // namespace
@@ -123,6 +153,27 @@
     }
 }
 
+void control_state::apply(const target_departure& departure)
+{
+    if (has_departed(departure)) {
+        return;
+    }
+    if (departures_.count(departure.identity) == 0) {
+        departure_order_.push_back(departure.identity);
+    }
+    departures_[departure.identity] = departure;
+    if (departure_order_.size() > max_stored_departures) {
+        departures_.erase(departure_order_.front());
+        departure_order_.pop_front();
+    }
+}
+
+bool control_state::has_departed(const target_departure& departure) const
+{
+    const auto found = departures_.find(departure.identity);
+    return found != departures_.end() && found->second.covers(departure);
+}
+
 std::vector<policy_record> control_state::changed_since(config_version known) const
 {
     std::vector<policy_record> result;
@@ -136,14 +187,17 @@
 
 std::string control_state::encode_snapshot() const
 {
-    state_snapshot s{version_, policies_, owners_, document_, results_, {}};
+    state_snapshot s{version_, policies_, owners_, document_, results_, {}, {}};
     s.result_order.assign(result_order_.begin(), result_order_.end());
+    for (const std::string& identity : departure_order_) {
+        s.departures.push_back(departures_.at(identity));
+    }
     return encode(s);
 }
 
 absl::StatusOr<control_state> control_state::decode_snapshot(const std::string& bytes)
 {
-    absl::StatusOr<state_snapshot> s = decode<state_snapshot>(bytes, "snapshot");
+    absl::StatusOr<state_snapshot> s = decode_state_snapshot(bytes);
     if (!s.ok()) {
         return absl::DataLossError(s.status().message());
     }
@@ -154,6 +208,9 @@
     state.document_ = std::move(s->document);
     state.results_ = std::move(s->results);
     state.result_order_.assign(s->result_order.begin(), s->result_order.end());
+    for (const target_departure& departure : s->departures) {
+        state.apply(departure);
+    }
     return state;
 }
 
--- a/lib/control/messages.cpp
+++ b/lib/control/messages.cpp
@@ -34,6 +34,26 @@
     return decode<member_sync>(bytes, "member sync");
 }
 
+std::string encode_departure_request(const departure_request& message)
+{
+    return encode(message);
+}
+
+absl::StatusOr<departure_request> decode_departure_request(const std::string& bytes)
+{
+    return decode<departure_request>(bytes, "departure request");
+}
+
+std::string encode_departure_reply(const departure_reply& message)
+{
+    return encode(message);
+}
+
+absl::StatusOr<departure_reply> decode_departure_reply(const std::string& bytes)
+{
+    return decode<departure_reply>(bytes, "departure reply");
+}
+
 std::string encode_account_report(const account_report& message)
 {
     return encode(message);
--- a/lib/daemon/control_runtime.cpp
+++ b/lib/daemon/control_runtime.cpp
@@ -23,6 +23,7 @@
 constexpr const char* poll_path = "/poll";
 constexpr const char* sync_path = "/sync";
 constexpr const char* account_path = "/account";
+constexpr const char* departure_path = "/departure";
 constexpr const char* account_copies_path = "/account-copies";
 
 std::vector<member_seed> member_seeds(const process_settings& settings)
@@ -168,6 +169,7 @@
 {
     loop_.run_after(subscriber_tick_period, [this] { on_subscriber_tick(); });
     execute(subscriber_.tick(loop_.now().now));
+    send_departures();
     log_subscription_changes();
     update_metrics();
 }
@@ -269,6 +271,46 @@
     }
 }
 
+void control_runtime::record_departure(const target_departure& departure,
+                                       std::function<void()> done)
+{
+    departures_.record(departure, std::move(done));
+    send_departures();
+}
+
+void control_runtime::check_departure(const target_departure& departure,
+                                      std::function<void(bool)> done)
+{
+    departures_.check(departure, std::move(done));
+    send_departures();
+}
+
+void control_runtime::send_departures()
+{
+    if (departures_.open_requests() == 0) {
+        return;
+    }
+    std::vector<std::string> names;
+    for (const auto& [name, m] : subscriber_.members()) {
+        names.push_back(name);
+    }
+    const std::vector<outgoing_departure> due =
+        departures_.tick(names, subscriber_.leader(), loop_.now().now);
+    for (const outgoing_departure& d : due) {
+        const std::uint64_t number = d.number;
+        peers_.send(subscriber_.members().at(d.member).address, departure_path,
+                    {encode_departure_request(d.request), nullptr},
+                    [this, number](const peer_result& result) {
+                        const auto* message = std::get_if<h2_message>(&result);
+                        const absl::StatusOr<departure_reply> reply =
+                            decode_departure_reply(message == nullptr ? "" : message->bytes);
+                        if (reply.ok()) {
+                            departures_.on_reply(number, *reply);
+                        }
+                    });
+    }
+}
+
 void control_runtime::on_member_tick()
 {
     loop_.run_after(member_tick_period, [this] { on_member_tick(); });
@@ -373,6 +415,12 @@
                      {encode_account_copies_reply(action.reply), nullptr});
 }
 
+void control_runtime::execute(const answer_departure& action)
+{
+    server_->respond(peer_stream_id(action.request.value()),
+                     {encode_departure_reply(action.reply), nullptr});
+}
+
 void control_runtime::execute(const answer_change& action)
 {
     const auto found = pending_changes_.find(action.request);
@@ -432,6 +480,13 @@
             return;
         }
     }
+    else if (path == departure_path) {
+        if (absl::StatusOr<departure_request> message = decode_departure_request(body);
+            message.ok()) {
+            handle(departure_received{request, std::move(*message)});
+            return;
+        }
+    }
     else if (path == account_path) {
         if (absl::StatusOr<account_report> report = decode_account_report(body); report.ok()) {
             handle(account_report_received{std::move(*report)});
