Read no more of a streamed response than its reader takes

Cause: each time the reader of a streamed response had taken bytes, at most 16 KiB, the connection to the target read up to 64 KiB, also while the buffer of the stream was full. So three of four bytes stayed in memory.

Change: the connection reads only while the buffer has room. The new gauge peer_output_bytes shows the memory held for sending to other nodes; it showed that this was not where the bytes were.

Measured: endless_target.no_more_of_a_streamed_response_is_read_than_its_reader_takes failed before (273 MB taken where 64 MB were read) and passes now, with the other tests of endless responses.

--- a/include/fescuedyke/daemon/traffic_metrics.h
+++ b/include/fescuedyke/daemon/traffic_metrics.h
@@ -32,6 +32,8 @@
     std::uint64_t failed_accepts = 0;
     std::uint64_t decision_lines_suppressed = 0;
     std::uint64_t log_lines_dropped = 0;
+    /// Memory held for sending to other nodes, in bytes.
+    std::uint64_t peer_output_bytes = 0;
     std::uint64_t body_bytes_held = 0;
     bool target_ready = false;
 };
--- a/include/fescuedyke/transport/h2_connection.h
+++ b/include/fescuedyke/transport/h2_connection.h
@@ -94,6 +94,8 @@
     std::size_t open_streams() const { return streams_.size(); }
     /// Returns whether bytes taken from open streams wait to be sent.
     bool has_unsent_bytes() const { return output_offset_ < output_.size(); }
+    /// Returns the size in bytes of the memory that is held for sending.
+    std::size_t output_memory() const { return output_.capacity(); }
 
 private:
     struct stream_state {
--- a/include/fescuedyke/transport/peer_server.h
+++ b/include/fescuedyke/transport/peer_server.h
@@ -51,6 +51,9 @@
     /// Returns the connections with bytes that wait to be sent.
     std::size_t connections_with_unsent_bytes() const;
 
+    /// Returns the size in bytes of the memory that all connections hold for sending.
+    std::size_t output_memory() const;
+
     /// Returns whether all requests were answered and all responses were sent.
     bool idle() const { return open_streams() == 0 && connections_with_unsent_bytes() == 0; }
     std::size_t connections() const { return sessions_.size(); }
--- a/lib/daemon/traffic_metrics.cpp
+++ b/lib/daemon/traffic_metrics.cpp
@@ -92,6 +92,7 @@
                      static_cast<double>(gauges.decision_lines_suppressed));
     node_gauges_.set({"log_lines_dropped"}, static_cast<double>(gauges.log_lines_dropped));
     node_gauges_.set({"body_bytes_held"}, static_cast<double>(gauges.body_bytes_held));
+    node_gauges_.set({"peer_output_bytes"}, static_cast<double>(gauges.peer_output_bytes));
     node_gauges_.set({"target_ready"}, gauges.target_ready ? 1 : 0);
 }
 
--- a/lib/daemon/traffic_runtime.cpp
+++ b/lib/daemon/traffic_runtime.cpp
@@ -176,6 +176,7 @@
     gauges.decision_lines_suppressed = decision_log_.suppressed();
     gauges.log_lines_dropped = log_lines_dropped();
     gauges.body_bytes_held = http_.buffered_bytes();
+    gauges.peer_output_bytes = server_.output_memory();
     gauges.target_ready = published_ready_;
     metrics_.set_gauges(gauges);
 }
--- a/lib/transport/peer_server.cpp
+++ b/lib/transport/peer_server.cpp
@@ -113,6 +113,15 @@
         }));
 }
 
+std::size_t peer_server::output_memory() const
+{
+    std::size_t bytes = 0;
+    for (const auto& [id, s] : sessions_) {
+        bytes += s->connection().output_memory();
+    }
+    return bytes;
+}
+
 void peer_server::shut_down()
 {
     listener_.stop();
--- a/lib/transport/target_connection.cpp
+++ b/lib/transport/target_connection.cpp
@@ -186,8 +186,7 @@
 
 void target_client::connection::update_watched_events()
 {
-    const std::uint32_t read_events =
-        response_body_ && response_body_->available_bytes() == 0 ? 0U : EPOLLIN;
+    const std::uint32_t read_events = body_is_full() ? 0U : EPOLLIN;
     const std::uint32_t wanted = read_events | (output_.empty() ? 0U : EPOLLOUT);
     if (fd_ >= 0 && wanted != watched_events_) {
         watched_events_ = wanted;
@@ -285,7 +284,14 @@
         return;
     }
     update_watched_events();
-    on_readable();
+    if (!body_is_full()) {
+        on_readable();
+    }
+}
+
+bool target_client::connection::body_is_full() const
+{
+    return response_body_ && response_body_->available_bytes() == 0;
 }
 
 bool target_client::connection::read_response()
--- a/lib/transport/target_connection.h
+++ b/lib/transport/target_connection.h
@@ -70,6 +70,8 @@
     void start_body_timer();
     void stop_body_timer();
     void resume_reading();
+    /// Returns whether no more of a streamed response may be read until its reader has taken some.
+    bool body_is_full() const;
     /// Parses the response. Returns whether to read on at once.
     bool read_response();
     /// Delivers a response whose body is streamed. Returns whether to read on at once.
--- a/unittests/transport/endless_response_test.cpp
+++ b/unittests/transport/endless_response_test.cpp
@@ -236,6 +236,42 @@
     client_->close_idle();
 }
 
+// Guards against memory that grows without bound while a streamed answer has no end: more was read
+// from the target each time than its reader had taken (issue 35, report of an answer without end).
+TEST_F(endless_target, no_more_of_a_streamed_response_is_read_than_its_reader_takes)
+{
+    constexpr std::uint64_t bytes_to_read = 64U << 20U;
+    // More than the buffers of both sockets and of the stream hold.
+    constexpr std::uint64_t max_bytes_ahead = 64U << 20U;
+    constexpr std::size_t bytes_at_once = 16U << 10U;
+    std::atomic<std::uint64_t> sent{0};
+    run_target({[&](raw_socket& c) {
+        c.read_until("\r\n\r\n");
+        c.send("HTTP/1.1 200 OK\r\nId: 1\r\n\r\n");
+        const std::string part(part_bytes, 'x');
+        while (c.try_send(part)) {
+            sent += part.size();
+        }
+    }});
+    const target_result result = send(make_request(true));
+    const auto* response = std::get_if<http_response>(&result);
+    ASSERT_TRUE(response != nullptr && response->body_stream != nullptr);
+    body_reader& body = *response->body_stream;
+    const std::uint64_t pass = body.rewind([] {});
+    std::string part(bytes_at_once, '\0');
+    std::uint64_t read = 0;
+    while (read < bytes_to_read && body.state(pass) == body_state::open) {
+        read += body.read(pass, part.data(), part.size());
+        loop_.post([this] { loop_.stop(); });
+        loop_.run();
+        loop_.clear_stop();
+    }
+    EXPECT_GE(read, bytes_to_read);
+    EXPECT_LT(sent, read + max_bytes_ahead);
+    client_.reset();
+    join_target();
+}
+
 // Guards against a connection that outlives its client because its response is still streamed.
 TEST_F(endless_target, a_streamed_response_ends_with_its_client)
 {
