Ask a named leader at once, and others less often, about a departure

While no member leads, each node with a new target repeated its request each 50 ms; with 200 nodes that starts after a kill of all processes, members would get 4,000 requests a second just as they elect.

Change: a request that is not decided is sent again after 250 ms, as a poll is. Only if the first member that was asked names the leader, this one is asked at once. The presumed leader and the other members are asked in turn.

--- a/include/fescuedyke/subscription/departure_client.h
+++ b/include/fescuedyke/subscription/departure_client.h
@@ -17,8 +17,9 @@
 struct departure_client_settings {
     /// A request that is not answered within this time is sent to the next member.
     millis reply_timeout{500};
-    /// Time until a request that a member could not decide is sent again.
-    millis retry_period{50};
+    /// Time until a request that a member could not decide is sent again. The first time it is sent
+    /// at once if the member named the leader.
+    millis retry_period{250};
 };
 
 /// A request to send. Its reply must be reported with the same number.
@@ -29,8 +30,8 @@
     departure_request request;
 };
 
-/// Repeats each request until a member has decided it: first at the leader, if it is known, and
-/// then at one member after the other.
+/// Repeats each request until a member has decided it, in turn at the presumed leader, if there is
+/// one, and at one of the members after the other.
 class departure_client {
 public:
     explicit departure_client(const departure_client_settings& settings = {}) : settings_(settings)
@@ -59,8 +60,10 @@
         std::uint64_t number = 0;
         departure_request request;
         std::function<void(bool)> done;
-        /// Number of times the request was sent.
+        /// Number of times the request was sent, and how many of these not to the presumed leader.
         std::size_t attempts = 0;
+        std::size_t others_asked = 0;
+        std::string last_member;
         instant sent_at;
         /// Whether the latest attempt was answered without a decision.
         bool undecided = false;
@@ -70,8 +73,9 @@
 
     void add(departure_request request, std::function<void(bool)> done);
     bool is_due(const open_request& r, instant now) const;
-    static std::string member_for(const open_request& r, const std::vector<std::string>& members,
-                                  const std::string& leader);
+    /// Returns the member to which the next attempt goes.
+    static std::string next_member(open_request& r, const std::vector<std::string>& members,
+                                   const std::string& leader);
 
     departure_client_settings settings_;
     std::uint64_t next_number_ = 1;
--- a/lib/subscription/departure_client.cpp
+++ b/lib/subscription/departure_client.cpp
@@ -39,22 +39,21 @@
 
 bool departure_client::is_due(const open_request& r, instant now) const
 {
+    const bool leader_is_new = r.undecided && r.attempts == 1 && !r.hint.empty();
     const millis wait = r.undecided ? settings_.retry_period : settings_.reply_timeout;
-    return r.attempts == 0 || now - r.sent_at >= wait;
+    return r.attempts == 0 || leader_is_new || now - r.sent_at >= wait;
 }
 
-std::string departure_client::member_for(const open_request& r,
-                                         const std::vector<std::string>& members,
-                                         const std::string& leader)
+std::string departure_client::next_member(open_request& r, const std::vector<std::string>& members,
+                                          const std::string& leader)
 {
     const std::string& preferred = r.hint.empty() ? leader : r.hint;
     const bool known = std::find(members.begin(), members.end(), preferred) != members.end();
-    // Every other attempt goes to the presumed leader, which may have changed.
-    if (known && r.attempts % 2 == 0) {
+    // The presumed leader may have changed.
+    if (known && r.last_member != preferred) {
         return preferred;
     }
-    const std::size_t others_asked = known ? r.attempts / 2 : r.attempts;
-    return members[(r.number + others_asked) % members.size()];
+    return members[(r.number + r.others_asked++) % members.size()];
 }
 
 std::vector<outgoing_departure> departure_client::tick(const std::vector<std::string>& members,
@@ -68,7 +67,8 @@
         if (!is_due(r, now)) {
             continue;
         }
-        due.push_back({r.number, member_for(r, members, leader), r.request});
+        r.last_member = next_member(r, members, leader);
+        due.push_back({r.number, r.last_member, r.request});
         ++r.attempts;
         r.sent_at = now;
         r.undecided = false;
