--- a/unittests/daemon/reported_target_test.cpp
+++ b/unittests/daemon/reported_target_test.cpp
@@ -1,3 +1,5 @@
+#include "membership/target_reports.h"
+
 #include "fescuedyke/daemon/reported_target.h"
 
 #include <gtest/gtest.h>
@@ -14,17 +16,6 @@
 
 constexpr wall_time now(5'000);
 
-target_report make_report(const std::string& identity, std::uint64_t started_at_ms,
-                          std::uint64_t sequence, target_state state = target_state::ready)
-{
-    target_report r;
-    r.identity = identity;
-    r.started_at_ms = started_at_ms;
-    r.sequence = sequence;
-    r.state = state;
-    return r;
-}
-
 /// A node whose process can be restarted, with a control group that decides when it is told to.
 class reported_target_test : public testing::Test {
 protected:
--- a/unittests/membership/target_tracker_test.cpp
+++ b/unittests/membership/target_tracker_test.cpp
@@ -1,3 +1,5 @@
+#include "membership/target_reports.h"
+
 #include "fescuedyke/membership/target_tracker.h"
 
 #include <gtest/gtest.h>
@@ -5,17 +7,6 @@
 namespace fescuedyke {
 namespace {
 
-target_report make_report(const std::string& identity, std::uint64_t started_at_ms,
-                          std::uint64_t sequence, target_state state = target_state::ready)
-{
-    target_report r;
-    r.identity = identity;
-    r.started_at_ms = started_at_ms;
-    r.sequence = sequence;
-    r.state = state;
-    return r;
-}
-
 constexpr wall_time deregistered(1'000);
 
 TEST(target_tracker, late_reports_of_the_same_start_are_ignored)
