Say in the message about a departure who may decide it

Cause: the comment said that only the leader decides, but each member may confirm a departure that it knows. Change: the comment. Nothing was run for it; no code changes.

--- a/include/fescuedyke/control/messages.h
+++ b/include/fescuedyke/control/messages.h
@@ -57,7 +57,7 @@
     std::optional<millis> lease;
 };
 
-/// A node reports that its target leaves, or asks whether it has left. Only the leader decides.
+/// A node reports that its target leaves, or asks whether it has left.
 struct departure_request {
     target_departure departure;
     /// Whether the departure is to be recorded. Otherwise the node only asks whether one is
@@ -66,7 +66,8 @@
 };
 
 struct departure_reply {
-    /// Whether the rest of the reply is valid: a leader answered that knows all committed changes.
+    /// Whether \c departed is certain. Each member may confirm a departure that it knows, but only
+    /// a leader that knows all committed changes decides that there is none.
     bool decided = false;
     /// Whether a departure that covers the one of the request is durable on a quorum.
     bool departed = false;
