Revert "Ask about departures as soon as the configuration is fresh again"

Cause: the change made the recovery after a loss of power of all processes worse. Suspected, not shown: the question that is sent at once comes before the leader holds its lease, and the next one follows 250 ms later, so that held calls pass their limit of 0.3 s and are refused.

--- a/include/fescuedyke/daemon/control_runtime.h
+++ b/include/fescuedyke/daemon/control_runtime.h
@@ -95,8 +95,6 @@
     void execute(const subscriber_output& output);
     /// Sends the requests about departures that are due.
     void send_departures();
-    /// Applies the reply to the poll \p number.
-    void on_poll_reply(std::uint64_t number, const poll_reply& reply);
     void log_subscription_changes();
     void log_role_changes();
     void log_waiting_joins();
--- a/include/fescuedyke/subscription/departure_client.h
+++ b/include/fescuedyke/subscription/departure_client.h
@@ -50,9 +50,6 @@
     std::vector<outgoing_departure> tick(const std::vector<std::string>& members,
                                          const std::string& leader, instant now);
 
-    /// Makes the requests that no member could decide due at once, because a leader is known again.
-    void expedite();
-
     /// Handles a reply, also a late one.
     void on_reply(std::uint64_t number, const departure_reply& reply);
 
@@ -70,7 +67,6 @@
         instant sent_at;
         /// Whether the latest attempt was answered without a decision.
         bool undecided = false;
-        bool expedited = false;
         /// Leader named by a member that could not decide; may be empty.
         std::string hint;
     };
--- a/lib/daemon/control_runtime.cpp
+++ b/lib/daemon/control_runtime.cpp
@@ -194,7 +194,7 @@
                             subscriber_.on_failed(number, now);
                             return;
                         }
-                        on_poll_reply(number, *reply);
+                        execute(subscriber_.on_reply(number, *reply, now));
                     });
     }
     if (output.document && on_document_) {
@@ -219,17 +219,6 @@
     send_departures();
 }
 
-void control_runtime::on_poll_reply(std::uint64_t number, const poll_reply& reply)
-{
-    const instant now = loop_.now().now;
-    const bool was_fresh = subscriber_.is_fresh(now);
-    execute(subscriber_.on_reply(number, reply, now));
-    if (!was_fresh && subscriber_.is_fresh(now)) {
-        departures_.expedite();
-        send_departures();
-    }
-}
-
 void control_runtime::send_departures()
 {
     if (departures_.open_requests() == 0) {
--- a/lib/subscription/departure_client.cpp
+++ b/lib/subscription/departure_client.cpp
@@ -41,7 +41,7 @@
 {
     const bool leader_is_new = r.undecided && r.attempts == 1 && !r.hint.empty();
     const millis wait = r.undecided ? settings_.retry_period : settings_.reply_timeout;
-    return r.attempts == 0 || leader_is_new || r.expedited || now - r.sent_at >= wait;
+    return r.attempts == 0 || leader_is_new || now - r.sent_at >= wait;
 }
 
 std::string departure_client::next_member(open_request& r, const std::vector<std::string>& members,
@@ -72,19 +72,10 @@
         ++r.attempts;
         r.sent_at = now;
         r.undecided = false;
-        r.expedited = false;
     }
     return due;
 }
 
-void departure_client::expedite()
-{
-    for (open_request& r : open_) {
-        r.expedited = r.undecided;
-        r.last_member.clear();
-    }
-}
-
 void departure_client::on_reply(std::uint64_t number, const departure_reply& reply)
 {
     const auto found = std::find_if(open_.begin(), open_.end(),
