Review stand-ins: end the started processes at a signal, and read the deploy file without tomllib

Cause: a case that is stopped early would have left its processes behind. Change: a handler of SIGTERM, and a second way to read the commands of the deploy file.

--- a/review/stand-ins-2/deployment2.py
+++ b/review/stand-ins-2/deployment2.py
@@ -10,13 +10,18 @@
 import os
 import pathlib
 import random
+import re
 import shutil
 import signal
 import socket
 import subprocess
 import tempfile
 import time
-import tomllib
+
+try:
+    import tomllib
+except ImportError:  # before Python 3.11
+    tomllib = None
 
 ROOT = pathlib.Path(__file__).resolve().parents[2]
 
@@ -42,9 +47,20 @@
         self._file.flush()
 
 
+def end_at_signal(number, frame):
+    """Ends the program in the usual way, so that the processes that it started are ended."""
+    raise SystemExit(EXIT_NOT_RUN)
+
+
+signal.signal(signal.SIGTERM, end_at_signal)
+
+
 def command_of(role):
-    deploy = tomllib.loads((ROOT / "deploy/system.toml").read_text())
-    return deploy["roles"][role]["run"].split()
+    text = (ROOT / "deploy/system.toml").read_text()
+    if tomllib:
+        return tomllib.loads(text)["roles"][role]["run"].split()
+    section = text.split(f"[roles.{role}]", 1)[1].split("[roles.", 1)[0]
+    return re.search(r'^run = "(.*)"$', section, re.MULTILINE).group(1).split()
 
 
 class Process:
