Review stand-ins: a file beside the cases, not a folder

Cause: a folder under review/ reads as a case, and this one has no claim and nothing to run. Change: stand-ins-2/deployment2.py is now deployment2.py, as the earlier review has its own.

--- a/review/7/case.py
+++ b/review/7/case.py
@@ -8,7 +8,7 @@
 import time
 
 HERE = pathlib.Path(__file__).resolve().parent
-sys.path.insert(0, str(HERE.parent / "stand-ins-2"))
+sys.path.insert(0, str(HERE.parent))
 import deployment2 as d2  # noqa: E402
 
 TROUBLE = os.environ.get("TROUBLE", "1") != "0"
--- a/review/build-2.sh
+++ b/review/build-2.sh
@@ -4,7 +4,6 @@
 set -euo pipefail
 cd "$(dirname "$0")"
 command -v python3 >/dev/null || { echo "python3 is missing" >&2; exit 1; }
-for file in stand-ins-2/*.py [0-9]*/case.py; do
-  [ -e "$file" ] || continue
+for file in deployment2.py 6/case.py 7/case.py 8/case.py 10/case.py; do
   python3 -B -c 'import sys; compile(open(sys.argv[1]).read(), sys.argv[1], "exec")' "$file"
 done
--- a/review/stand-ins-2/deployment2.py
+++ b/review/deployment2.py
@@ -23,7 +23,7 @@
 except ImportError:  # before Python 3.11
     tomllib = None
 
-ROOT = pathlib.Path(__file__).resolve().parents[2]
+ROOT = pathlib.Path(__file__).resolve().parents[1]
 
 INBOUND, APP, READY, OUTBOUND, CONTROL, PEER = 8300, 8301, 8302, 8304, 8306, 7620
 
