--- a/review/7/case.py
+++ b/review/7/case.py
@@ -20,6 +20,7 @@
 SPOIL_FROM_S, SPOIL_FOR_S, PAUSE_BETWEEN_S = 3.0, 5.5, 3.0
 MAX_SPELLS = 6
 TRAFFIC_S = 12.0 + (MAX_SPELLS - 1) * (SPOIL_FOR_S + PAUSE_BETWEEN_S)
+# On each machine of the service with the faulty backend.
 DEPOSIT_CLIENTS = 20
 # On each machine.
 BROWSE_CLIENTS = 5
@@ -80,9 +81,9 @@
         await asyncio.sleep(1.0)
         await deployment.configure([d2.route("slots", "calendar"),
                                     d2.route("deposits", "bookings", kind="non_idempotent")])
-        spoiling = SpoilingBackend(deployment, deployment.nodes[0], chance)
+        calendar = [SpoilingBackend(deployment, n, chance) for n in deployment.nodes[:3]]
         sound = [DepositBackend(deployment, n) for n in deployment.nodes[3:]]
-        backends = [spoiling, *[d2.Backend(deployment, n) for n in deployment.nodes[1:3]], *sound]
+        backends = [*calendar, *sound]
         for backend in backends:
             await backend.start()
         await deployment.wait_ready()
@@ -91,9 +92,8 @@
         judge = d2.LostJudge(record)
         begin = time.monotonic()
         end = begin + TRAFFIC_S
-        # The clients of the machine of the first calendar backend.
-        clients = [d2.KeptClient(deployment.nodes[0], judge, "POST", "/deposits/new", b"amount=10", pause_s=0.05)
-                   for _ in range(DEPOSIT_CLIENTS)]
+        clients = [d2.KeptClient(node, judge, "POST", "/deposits/new", b"amount=10", pause_s=0.05)
+                   for node in deployment.nodes[:3] for _ in range(DEPOSIT_CLIENTS)]
         clients += [d2.KeptClient(node, judge, "GET", "/slots/free", pause_s=0.03)
                     for node in deployment.nodes for _ in range(BROWSE_CLIENTS)]
 
@@ -103,6 +103,8 @@
         async def disruption():
             await asyncio.sleep(SPOIL_FROM_S)
             for _ in range(MAX_SPELLS):
+                # The one that has got most requests: nodes may send hardly any to one of the three.
+                spoiling = max(calendar, key=lambda b: len(b.runs))
                 spoiling.spoils = TROUBLE
                 await asyncio.sleep(SPOIL_FOR_S)
                 spoiling.spoils = False
